--- /dev/null
+++ b/flamingosail/logservice.py
@@ -0,0 +1,52 @@
+"""The platform's append-only log service, as the decision core sees it."""
+
+from dataclasses import dataclass
+
+from twisted.internet.defer import Deferred
+
+__all__ = ["LogPage", "LogRecord", "LogService"]
+
+
+@dataclass(frozen=True, slots=True)
+class LogRecord:
+    """One record of a stream."""
+
+    offset: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class LogPage:
+    """Records of a stream in offset order, possibly none.
+
+    ``first`` is the first offset still kept, ``end`` the offset that the
+    next append will get. A page that starts above the offset asked for
+    shows that records before ``first`` were trimmed.
+    """
+
+    first: int
+    end: int
+    records: tuple[LogRecord, ...]
+
+
+class LogService:
+    """Base of the clients of the log service."""
+
+    name = "log"
+
+    def append(self, *, stream: str, data: bytes) -> Deferred[int]:
+        """Append a record and return its offset.
+
+        The Deferred fails with LogUnavailable if there was no answer; the
+        append may have taken effect all the same.
+        """
+        raise NotImplementedError
+
+    def read(
+        self, *, stream: str, offset: int, limit: int
+    ) -> Deferred[LogPage]:
+        """Return at most ``limit`` records from ``offset`` on.
+
+        The Deferred fails with LogUnavailable if there was no answer.
+        """
+        raise NotImplementedError
--- /dev/null
+++ b/flamingosail/manifest.py
@@ -0,0 +1,247 @@
+"""The manifest: services, request kinds and their limits.
+
+A manifest is a JSON object with two members::
+
+    {"services": {"gatekeeper": {}},
+     "kinds": {"gate-check": {"service": "gatekeeper",
+                              "importance": "critical",
+                              "idempotent": true,
+                              "timeout_ms": 2000}}}
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from msgspec import DecodeError
+from msgspec.json import decode
+
+from flamingosail.errors import ManifestError
+from flamingosail.priority import Importance
+
+__all__ = [
+    "KindSpec",
+    "MAX_MANIFEST_BYTES",
+    "Manifest",
+    "ServiceSpec",
+    "parse_manifest",
+]
+
+MAX_MANIFEST_BYTES = 1_048_576
+DEFAULT_MAX_CALLS = 256
+DEFAULT_MAX_RETRIES = 3
+DEFAULT_RETRY_RATIO = 0.1
+DEFAULT_RETRY_CAP = 10
+MAX_TIMEOUT_MS = 600_000
+MAX_NAME_LENGTH = 64
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSpec:
+    """A service and its retry budget.
+
+    ``retry_budget_ratio`` is the retries earned by one success,
+    ``retry_budget_cap`` the most that are saved up.
+    """
+
+    name: str
+    retry_budget_ratio: float = DEFAULT_RETRY_RATIO
+    retry_budget_cap: int = DEFAULT_RETRY_CAP
+
+
+@dataclass(frozen=True, slots=True)
+class KindSpec:
+    """A kind of request.
+
+    ``max_calls`` bounds the attempts one root of this kind causes,
+    ``max_retries`` those beyond the first attempt of each call.
+    ``trust_refusal`` says that the backend server refuses with the verdict
+    not-run only what it has not begun.
+    """
+
+    name: str
+    service: str
+    importance: Importance
+    idempotent: bool
+    timeout_ms: int
+    max_calls: int = DEFAULT_MAX_CALLS
+    max_retries: int = DEFAULT_MAX_RETRIES
+    key_required: bool = False
+    trust_refusal: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Manifest:
+    """A checked manifest. ``version`` is its offset in the log."""
+
+    version: int
+    body: bytes
+    services: dict[str, ServiceSpec] = field(repr=False)
+    kinds: dict[str, KindSpec] = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Field:
+    """The rule for one member of an object in the manifest."""
+
+    type: type
+    required: bool = False
+    low: float | None = None
+    high: float | None = None
+    choices: tuple[str, ...] = ()
+
+
+SERVICE_FIELDS = {
+    "retry_budget_ratio": Field(type=float, low=0, high=1),
+    "retry_budget_cap": Field(type=int, low=0, high=10_000),
+}
+KIND_FIELDS = {
+    "service": Field(type=str, required=True),
+    "importance": Field(
+        type=str,
+        required=True,
+        choices=tuple(level.name.lower() for level in Importance),
+    ),
+    "idempotent": Field(type=bool, required=True),
+    "timeout_ms": Field(type=int, required=True, low=1, high=MAX_TIMEOUT_MS),
+    "max_calls": Field(type=int, low=1, high=65_536),
+    "max_retries": Field(type=int, low=0, high=64),
+    "key_required": Field(type=bool),
+    "trust_refusal": Field(type=bool),
+}
+
+
+def parse_manifest(body: bytes, *, version: int) -> Manifest:
+    """Return the manifest in ``body``.
+
+    :raises ExceptionGroup: of ManifestError, with every mistake found.
+    """
+    errors: list[ManifestError] = []
+    document = _decode(body, errors)
+    services = _section(document, "services", SERVICE_FIELDS, errors)
+    kinds = _section(document, "kinds", KIND_FIELDS, errors)
+    _check_references(services, kinds, errors)
+    if errors:
+        raise ExceptionGroup("invalid manifest", errors)
+    return Manifest(
+        version=version,
+        body=body,
+        services={
+            name: ServiceSpec(name=name, **members)
+            for name, members in services.items()
+        },
+        kinds={
+            name: _kind_spec(name, members) for name, members in kinds.items()
+        },
+    )
+
+
+def _decode(body: bytes, errors: list[ManifestError]) -> dict:
+    if len(body) > MAX_MANIFEST_BYTES:
+        errors.append(
+            ManifestError(
+                "manifest", f"{len(body)} bytes exceed {MAX_MANIFEST_BYTES}"
+            )
+        )
+        return {"services": {}, "kinds": {}}
+    try:
+        document = decode(body)
+    except (DecodeError, UnicodeDecodeError) as error:
+        errors.append(ManifestError("manifest", f"not valid JSON: {error}"))
+        return {"services": {}, "kinds": {}}
+    if not isinstance(document, dict):
+        errors.append(ManifestError("manifest", "must be an object"))
+        return {"services": {}, "kinds": {}}
+    errors.extend(
+        ManifestError(key, "unknown key")
+        for key in document
+        if key not in ("services", "kinds")
+    )
+    return document
+
+
+def _section(
+    document: dict,
+    section: str,
+    fields: dict[str, Field],
+    errors: list[ManifestError],
+) -> dict[str, dict]:
+    entries = document.get(section)
+    if not isinstance(entries, dict):
+        errors.append(ManifestError(section, "must be an object"))
+        return {}
+    checked = {}
+    for name, members in entries.items():
+        place = f"{section}.{name}"
+        if not name or len(name) > MAX_NAME_LENGTH or not name.isprintable():
+            errors.append(
+                ManifestError(
+                    place, f"name must have 1 to {MAX_NAME_LENGTH} characters"
+                )
+            )
+        if not isinstance(members, dict):
+            errors.append(ManifestError(place, "must be an object"))
+            continue
+        _check_members(place, members, fields, errors)
+        checked[name] = members
+    return checked
+
+
+def _check_members(
+    place: str,
+    members: dict,
+    fields: dict[str, Field],
+    errors: list[ManifestError],
+):
+    for key in members:
+        if key not in fields:
+            errors.append(ManifestError(f"{place}.{key}", "unknown key"))
+    for key, rule in fields.items():
+        if key in members:
+            reason = _mistake(members[key], rule)
+            if reason:
+                errors.append(ManifestError(f"{place}.{key}", reason))
+        elif rule.required:
+            errors.append(ManifestError(f"{place}.{key}", "is missing"))
+
+
+def _mistake(value: object, rule: Field) -> str | None:
+    accepted = (int, float) if rule.type is float else rule.type
+    is_bool = isinstance(value, bool)
+    if not isinstance(value, accepted) or is_bool != (rule.type is bool):
+        return f"must be of type {rule.type.__name__}"
+    if rule.low is not None and not rule.low <= value <= rule.high:
+        return f"must be from {rule.low} to {rule.high}, not {value}"
+    if rule.choices and value not in rule.choices:
+        return f"must be one of {', '.join(rule.choices)}, not {value!r}"
+    return None
+
+
+def _check_references(
+    services: dict[str, dict],
+    kinds: dict[str, dict],
+    errors: list[ManifestError],
+):
+    for name, members in kinds.items():
+        service = members.get("service")
+        if isinstance(service, str) and service not in services:
+            errors.append(
+                ManifestError(
+                    f"kinds.{name}.service",
+                    f"service {service!r} is not in the manifest",
+                )
+            )
+        key_required = members.get("key_required", True)
+        if members.get("idempotent") is False and key_required is False:
+            errors.append(
+                ManifestError(
+                    f"kinds.{name}.key_required",
+                    "must not be false for a kind that is not idempotent",
+                )
+            )
+
+
+def _kind_spec(name: str, members: dict) -> KindSpec:
+    values = dict(members)
+    values["importance"] = Importance[values["importance"].upper()]
+    values.setdefault("key_required", not values["idempotent"])
+    return KindSpec(name=name, **values)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of flamingosail."""
