--- /dev/null
+++ b/flamingosail/admission.py
@@ -0,0 +1,117 @@
+"""Admission control of one backend server by a priority threshold.
+
+After DAGOR (SoCC 2018): the queueing delay tells overload, and the threshold
+follows from a histogram of the priorities that arrive. Unlike DAGOR, which
+moves the threshold in fixed steps, one step reaches the level at which the
+arrivals match the completions.
+"""
+
+from twisted.internet.interfaces import IReactorTime
+
+from flamingosail.priority import PRIORITY_RANGE
+
+__all__ = ["AdmissionControl"]
+
+WINDOW_SECONDS = 0.1
+TARGET_DELAY_SECONDS = 0.020
+# Weight of the past in the histogram and the completion count; short windows
+# alone are too noisy for servers that complete few calls per window.
+WINDOW_DECAY = 0.7
+ADMITTED_SHARE = 0.95
+RISE_STEP = PRIORITY_RANGE // 16
+# A trickle of critical work always passes, so that recovery is noticed.
+LOWEST_THRESHOLD = 8
+
+
+class AdmissionControl:
+    """Holds the threshold; priorities below it are admitted.
+
+    ``threshold`` is from LOWEST_THRESHOLD to 512, where 512 admits all.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: IReactorTime,
+        target_delay: float = TARGET_DELAY_SECONDS,
+    ):
+        self.clock = clock
+        self.target_delay = target_delay
+        self.threshold = PRIORITY_RANGE
+        self.window_start = clock.seconds()
+        self.arrivals = [0.0] * PRIORITY_RANGE
+        self.completions = 0.0
+        self.delay_sum = 0.0
+        self.dispatches = 0
+        self.queued = 0
+        self.refused = 0
+
+    def admits(self, priority: int) -> bool:
+        """Count an arrival and return whether it is admitted."""
+        self.advance()
+        self.arrivals[priority] += 1
+        if priority < self.threshold:
+            return True
+        self.refused += 1
+        return False
+
+    def dispatched(self, delay: float):
+        """Note that a call left the queue after ``delay`` seconds."""
+        self.delay_sum += delay
+        self.dispatches += 1
+
+    def completed(self):
+        """Note that the backend server finished a call."""
+        self.completions += 1
+
+    def advance(self):
+        """Move the threshold if a window has passed."""
+        now = self.clock.seconds()
+        elapsed = now - self.window_start
+        if elapsed < WINDOW_SECONDS:
+            return
+        self.window_start = now
+        delay = self.mean_delay(elapsed)
+        if delay > self.target_delay:
+            self.threshold = min(self.threshold, self.sustainable())
+        elif delay < self.target_delay / 2:
+            steps = min(16, int(elapsed / WINDOW_SECONDS))
+            self.threshold = min(
+                PRIORITY_RANGE, self.threshold + steps * RISE_STEP
+            )
+        self.decay(elapsed)
+
+    def mean_delay(self, elapsed: float) -> float:
+        """Return the mean queueing delay of the window in seconds.
+
+        A queue from which nothing left has waited the whole window.
+        """
+        if self.dispatches:
+            return self.delay_sum / self.dispatches
+        return elapsed if self.queued else 0.0
+
+    def sustainable(self) -> int:
+        """Return the largest threshold whose arrivals can be served."""
+        budget = self.completions * ADMITTED_SHARE
+        total = 0.0
+        for priority, count in enumerate(self.arrivals):
+            total += count
+            if total > budget:
+                return max(LOWEST_THRESHOLD, priority)
+        return PRIORITY_RANGE
+
+    def decay(self, elapsed: float):
+        """Age the counts by the time that has passed."""
+        factor = WINDOW_DECAY ** (elapsed / WINDOW_SECONDS)
+        self.arrivals = [count * factor for count in self.arrivals]
+        self.completions *= factor
+        self.delay_sum = 0.0
+        self.dispatches = 0
+
+    def dump(self) -> dict:
+        """Return the threshold and the counts behind it."""
+        return {
+            "threshold": self.threshold,
+            "refused": self.refused,
+            "completions": round(self.completions, 1),
+        }
--- /dev/null
+++ b/flamingosail/egress.py
@@ -0,0 +1,456 @@
+"""Outgoing calls: choice of a server, retries, deadline, cancellation."""
+
+from random import Random
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+
+from flamingosail.allowance import Allowance
+from flamingosail.context import CallContext
+from flamingosail.errors import RefusalCode
+from flamingosail.errors import SendFailed
+from flamingosail.exchange import Exchange
+from flamingosail.ingress import Ingress
+from flamingosail.ingress import Work
+from flamingosail.kernel import Service
+from flamingosail.manifest import KindSpec
+from flamingosail.manifest import ServiceSpec
+from flamingosail.messages import Call
+from flamingosail.messages import Cancel
+from flamingosail.messages import MemberRecord
+from flamingosail.pressure import PressureMap
+from flamingosail.priority import PRIORITY_RANGE
+from flamingosail.request import Answer
+from flamingosail.request import refuse
+from flamingosail.request import Request
+from flamingosail.retry import backoff
+from flamingosail.retry import RetryBudget
+from flamingosail.retrypool import RetryPool
+from flamingosail.routing import Router
+from flamingosail.transport import Transport
+from flamingosail.verdict import Verdict
+
+__all__ = ["Egress", "OutgoingCall"]
+
+# An idempotent call without an answer is tried elsewhere after this share of
+# its time, so that a silent connection does not use up the whole deadline.
+SILENT_SHARE = 0.5
+# Refusals that another attempt cannot change, or must not burden.
+FINAL_REFUSALS = frozenset(
+    (
+        RefusalCode.OVERLOADED,
+        RefusalCode.CANCELLED,
+        RefusalCode.ATTEMPTS_EXHAUSTED,
+        RefusalCode.DEADLINE_EXCEEDED,
+    )
+)
+
+
+class Egress(Service):
+    """Carries calls to servers of other nodes or of this one."""
+
+    name = "egress"
+
+    def __init__(
+        self,
+        *,
+        clock: IReactorTime,
+        random: Random,
+        transport: Transport,
+        incarnation: str,
+        exchange: Exchange,
+        router: Router,
+        retries: RetryPool,
+        pressure: PressureMap,
+        ingress: Ingress,
+    ):
+        self.clock = clock
+        self.random = random
+        self.transport = transport
+        self.incarnation = incarnation
+        self.exchange = exchange
+        self.router = router
+        self.retries = retries
+        self.pressure = pressure
+        self.ingress = ingress
+        self.budgets: dict[str, RetryBudget] = {}
+        self.calls: set[OutgoingCall] = set()
+        self.attempts = 0
+        self.retried = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that have not ended."""
+        return len(self.calls)
+
+    def call(
+        self, *, request: Request, kind: KindSpec, context: CallContext
+    ) -> Deferred[Answer]:
+        """Carry out one call and return its answer.
+
+        The Deferred never fails. Cancelling it cancels the call, unless
+        the kind is not idempotent and the call may have begun.
+        """
+        if not self.pressure.admits(kind.name, context.priority):
+            return _fired(
+                refuse(
+                    RefusalCode.OVERLOADED,
+                    Verdict.NOT_RUN,
+                    f"a service that {kind.name} needs is overloaded",
+                    allowance=context.allowance,
+                    pressure=max(1, int(self.pressure.threshold(kind.name))),
+                )
+            )
+        call = OutgoingCall(
+            egress=self, request=request, kind=kind, context=context
+        )
+        self.calls.add(call)
+        call.start()
+        return call.done
+
+    def budget(self, kind: KindSpec) -> RetryBudget:
+        """Return the retry budget towards the service of a kind."""
+        budget = self.budgets.get(kind.service)
+        if budget is None:
+            spec = self.service_spec(kind.service)
+            budget = self.budgets[kind.service] = RetryBudget.of(spec)
+        return budget
+
+    def service_spec(self, service: str) -> ServiceSpec:
+        """Return the manifest's settings of a service."""
+        manifest = self.ingress.manifest.current
+        if manifest is not None and service in manifest.services:
+            return manifest.services[service]
+        return ServiceSpec(name=service)
+
+    def on_manifest(self, manifest):
+        """Forget the budgets, whose settings may have changed."""
+        self.budgets.clear()
+
+    def dump(self) -> dict:
+        """Return counts of calls, attempts and retries."""
+        return {
+            "in_flight": len(self.calls),
+            "attempts": self.attempts,
+            "retried": self.retried,
+            "pressure": self.pressure.dump(),
+            "retry_tokens": {
+                service: round(budget.tokens, 1)
+                for service, budget in self.budgets.items()
+            },
+        }
+
+
+class OutgoingCall:
+    """One call with all its attempts, at most one of them open.
+
+    ``verdict`` is the strongest verdict of any attempt so far.
+    """
+
+    def __init__(
+        self,
+        *,
+        egress: Egress,
+        request: Request,
+        kind: KindSpec,
+        context: CallContext,
+    ):
+        self.egress = egress
+        self.request = request
+        self.kind = kind
+        self.context = context
+        self.allowance = context.allowance
+        self.verdict = Verdict.NOT_RUN
+        self.pressure = PRIORITY_RANGE
+        self.tried: frozenset[str] = frozenset()
+        self.retries = 0
+        self.attempt: Attempt | None = None
+        self.timer = None
+        self.waits_for_retry = False
+        self.finished = False
+        self.done: Deferred[Answer] = Deferred(self.on_cancelled)
+
+    def start(self):
+        """Set the deadline and make the first attempt."""
+        clock = self.egress.clock
+        remaining = self.context.remaining(clock.seconds())
+        self.timer = clock.callLater(remaining, self.on_deadline)
+        if remaining > 0:
+            self.try_once()
+
+    def try_once(self):
+        """Send the call to a server that has not been tried yet."""
+        if self.finished:
+            return
+        left = self.allowance.spend()
+        if left is None:
+            self.refuse(RefusalCode.ATTEMPTS_EXHAUSTED, "no attempts are left")
+            return
+        server = self.egress.router.choose(
+            service=self.kind.service, exclude=self.tried
+        )
+        if server is None:
+            self.refuse(
+                RefusalCode.NO_SERVER,
+                f"no server of {self.kind.service} is known",
+            )
+            return
+        self.allowance, lent = left.lend()
+        self.tried |= {server.incarnation}
+        self.egress.attempts += 1
+        self.attempt = Attempt(call=self, server=server, lent=lent)
+        self.attempt.start()
+
+    def on_attempt_ended(self, attempt: "Attempt", answer: Answer):
+        """Finish, or retry if that is allowed."""
+        if self.attempt is not attempt:
+            return
+        self.attempt = None
+        self.allowance = self.allowance.add(answer.allowance)
+        self.verdict = max(self.verdict, answer.verdict)
+        self.pressure = min(self.pressure, answer.pressure)
+        self.egress.pressure.learn(self.kind.name, answer.pressure)
+        if answer.succeeded:
+            self.egress.budget(self.kind).succeeded()
+        if self.finished:
+            return
+        if self.may_retry(answer) and self.ask_for_retry(
+            self.on_retry_decided, answer
+        ):
+            return
+        self.finish(answer)
+
+    def may_retry(self, answer: Answer) -> bool:
+        """Return whether the end of an attempt allows another one."""
+        refusal = answer.refusal
+        if refusal is None or refusal.code in FINAL_REFUSALS:
+            return False
+        return self.kind.idempotent or self.verdict is Verdict.NOT_RUN
+
+    def ask_for_retry(self, decide, *args) -> bool:
+        """Ask the root for a retry; return False if that is pointless."""
+        egress = self.egress
+        if egress.pressure.overloaded(self.kind.name):
+            return False
+        if not egress.budget(self.kind).take():
+            return False
+        self.waits_for_retry = True
+        egress.retries.ask(
+            self.context.root_address,
+            self.context.root,
+            lambda granted: decide(granted, *args),
+        )
+        return True
+
+    def on_retry_decided(self, granted: bool, answer: Answer):
+        """Retry after a backoff, or give the answer that there is."""
+        self.waits_for_retry = False
+        if self.finished:
+            return
+        if not granted:
+            self.finish(answer)
+            return
+        self.retries += 1
+        self.egress.retried += 1
+        delay = backoff(self.retries, self.egress.random)
+        self.egress.clock.callLater(delay, self.try_once)
+
+    def on_silent(self, attempt: "Attempt"):
+        """Try elsewhere if an attempt has had no answer for long."""
+        if self.attempt is attempt and not self.waits_for_retry:
+            self.ask_for_retry(self.on_replacement_decided, attempt)
+
+    def on_replacement_decided(self, granted: bool, attempt: "Attempt"):
+        """Give an attempt up for another one."""
+        self.waits_for_retry = False
+        if not granted or self.finished or self.attempt is not attempt:
+            return
+        self.attempt = None
+        attempt.abandon()
+        self.verdict = max(self.verdict, Verdict.MAY_HAVE_RUN)
+        self.retries += 1
+        self.egress.retried += 1
+        self.try_once()
+
+    def on_deadline(self):
+        """End the call because its time is up."""
+        if self.attempt is not None:
+            self.verdict = max(self.verdict, Verdict.MAY_HAVE_RUN)
+            self.abandon_attempt()
+        self.refuse(RefusalCode.DEADLINE_EXCEEDED, "the deadline has passed")
+
+    def on_cancelled(self, deferred: Deferred):
+        """End the call because nobody waits for it any more."""
+        if self.attempt is not None:
+            self.verdict = max(self.verdict, Verdict.MAY_HAVE_RUN)
+            self.abandon_attempt()
+        self.refuse(RefusalCode.CANCELLED, "the caller is gone")
+
+    def abandon_attempt(self):
+        """Give the open attempt up."""
+        attempt, self.attempt = self.attempt, None
+        attempt.abandon()
+
+    def refuse(self, code: RefusalCode, detail: str):
+        """Finish with a refusal."""
+        self.finish(refuse(code, self.verdict, detail))
+
+    def finish(self, answer: Answer):
+        """Give the answer, with the verdict over all attempts."""
+        if self.finished:
+            return
+        self.finished = True
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.egress.calls.discard(self)
+        refusal = answer.refusal
+        if refusal is not None and answer.verdict < self.verdict:
+            answer = refuse(refusal.code, self.verdict, refusal.detail)
+        self.done.callback(
+            Answer(
+                verdict=answer.verdict,
+                status=answer.status,
+                headers=answer.headers,
+                body=answer.body,
+                refusal=answer.refusal,
+                allowance=self.allowance,
+                pressure=min(self.pressure, answer.pressure),
+            )
+        )
+
+
+class Attempt:
+    """One attempt of a call at one server."""
+
+    def __init__(
+        self, *, call: OutgoingCall, server: MemberRecord, lent: Allowance
+    ):
+        self.call = call
+        self.egress = call.egress
+        self.server = server
+        self.lent = lent
+        self.sent_at = self.egress.clock.seconds()
+        self.call_id = 0
+        self.work: Work | None = None
+        self.silence = None
+        self.ended = False
+
+    def start(self):
+        """Hand the call to the own ingress or to the server's node."""
+        self.egress.router.sent(self.server)
+        if self.server.incarnation == self.egress.incarnation:
+            self.serve_here()
+        else:
+            self.send()
+        if not self.ended and self.call.kind.idempotent:
+            remaining = self.call.context.deadline - self.sent_at
+            self.silence = self.egress.clock.callLater(
+                remaining * SILENT_SHARE, self.call.on_silent, self
+            )
+
+    def serve_here(self):
+        """Hand the call to the ingress of this node."""
+        call = self.call
+        context = call.context
+        self.work = Work(
+            request=call.request,
+            context=CallContext(
+                root=context.root,
+                root_address=context.root_address,
+                priority=context.priority,
+                deadline=context.deadline,
+                allowance=self.lent,
+                depth=context.depth,
+                idempotent=call.kind.idempotent,
+            ),
+            reply=self.end,
+            trust_refusal=call.kind.trust_refusal,
+        )
+        self.egress.ingress.submit(self.work)
+
+    def send(self):
+        """Send the call to the node of the server."""
+        egress = self.egress
+        self.call_id = egress.exchange.open(self.server.incarnation, self.end)
+        try:
+            egress.transport.send(self.server.address, self.message())
+        except SendFailed as error:
+            egress.exchange.close(self.call_id)
+            self.end(
+                refuse(
+                    RefusalCode.CONNECTION_LOST,
+                    Verdict.NOT_RUN,
+                    f"node {self.server.node}: {error}",
+                    allowance=self.lent,
+                )
+            )
+
+    def message(self) -> Call:
+        """Return the message that asks for this attempt."""
+        request = self.call.request
+        context = self.call.context
+        return Call(
+            sender=self.egress.incarnation,
+            reply_to=self.egress.transport.address,
+            call_id=self.call_id,
+            target=self.server.incarnation,
+            root=context.root,
+            root_address=context.root_address,
+            kind=request.kind,
+            priority=context.priority,
+            remaining_ms=context.remaining(self.sent_at) * 1000,
+            calls=self.lent.calls,
+            depth=context.depth,
+            idempotent=self.call.kind.idempotent,
+            method=request.method,
+            path=request.target,
+            headers=request.headers,
+            body=request.body,
+        )
+
+    def end(self, answer: Answer):
+        """Take the answer of the attempt, once."""
+        if self.ended:
+            return
+        self.close(
+            failed=answer.refusal is not None or answer.status >= 500,
+            refused=answer.refusal is not None
+            and answer.refusal.code is RefusalCode.OVERLOADED,
+        )
+        returned = answer.allowance.limit(self.lent)
+        self.call.on_attempt_ended(self, answer.with_allowance(returned))
+
+    def abandon(self):
+        """Stop waiting for the answer; what was lent is lost."""
+        if self.ended:
+            return
+        self.close(failed=True, refused=False)
+        if self.work is not None:
+            self.egress.ingress.cancel(self.work)
+            return
+        self.egress.exchange.close(self.call_id)
+        cancel = Cancel(sender=self.egress.incarnation, call_id=self.call_id)
+        try:
+            self.egress.transport.send(self.server.address, cancel)
+        except SendFailed:
+            # The server's node ends the call at its deadline.
+            return
+
+    def close(self, *, failed: bool, refused: bool):
+        """Release timers and report to the router."""
+        self.ended = True
+        if self.silence is not None and self.silence.active():
+            self.silence.cancel()
+        self.egress.router.finished(
+            self.server,
+            seconds=self.egress.clock.seconds() - self.sent_at,
+            failed=failed,
+            refused=refused,
+        )
+
+
+def _fired(answer: Answer) -> Deferred[Answer]:
+    """Return a Deferred that has fired with an answer."""
+    done: Deferred[Answer] = Deferred()
+    done.callback(answer)
+    return done
--- /dev/null
+++ b/flamingosail/entrance.py
@@ -0,0 +1,545 @@
+"""Where requests enter: from callers and from the own backend server."""
+
+from random import Random
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+
+from flamingosail.allowance import Allowance
+from flamingosail.allowance import NO_ALLOWANCE
+from flamingosail.context import CallContext
+from flamingosail.context import MAX_DEPTH
+from flamingosail.egress import Egress
+from flamingosail.errors import RefusalCode
+from flamingosail.errors import SendFailed
+from flamingosail.exchange import answer_message
+from flamingosail.exchange import Exchange
+from flamingosail.ingress import Ingress
+from flamingosail.ingress import Work
+from flamingosail.kernel import Service
+from flamingosail.keys import InvalidKey
+from flamingosail.keys import Key
+from flamingosail.keys import KeyEntry
+from flamingosail.keys import KeyState
+from flamingosail.keys import KeyTable
+from flamingosail.manifest import KindSpec
+from flamingosail.messages import Forward
+from flamingosail.priority import LOWEST_PRIORITY
+from flamingosail.priority import root_priority
+from flamingosail.request import Answer
+from flamingosail.request import refuse
+from flamingosail.request import Request
+from flamingosail.retrypool import RetryPool
+from flamingosail.transport import Transport
+from flamingosail.verdict import Verdict
+
+__all__ = ["Entrance", "RequestEnded"]
+
+ROOT_BITS = 64
+
+
+class RequestEnded(Exception):
+    """Carries the answer of a request that ends before it becomes a call."""
+
+    def __init__(self, answer: Answer):
+        super().__init__(answer.refusal)
+        self.answer = answer
+
+
+class Entrance(Service):
+    """Makes roots of callers' requests and children of own calls."""
+
+    name = "entrance"
+
+    def __init__(
+        self,
+        *,
+        clock: IReactorTime,
+        random: Random,
+        transport: Transport,
+        incarnation: str,
+        manifest,
+        members,
+        exchange: Exchange,
+        keys: KeyTable,
+        retries: RetryPool,
+        egress: Egress,
+        ingress: Ingress,
+    ):
+        self.clock = clock
+        self.random = random
+        self.transport = transport
+        self.incarnation = incarnation
+        self.manifest = manifest
+        self.members = members
+        self.exchange = exchange
+        self.keys = keys
+        self.retries = retries
+        self.egress = egress
+        self.ingress = ingress
+        self.closed = False
+        self.in_flight = 0
+        self.requests = 0
+        transport.listen(Forward, self.on_forward)
+
+    def issue_key(self) -> str:
+        """Return a fresh idempotency key of this node."""
+        return self.keys.issue()
+
+    def submit(self, request: Request) -> Deferred[Answer]:
+        """Serve a caller's request.
+
+        The Deferred never fails. Cancelling it says that the caller no
+        longer waits.
+        """
+        self.requests += 1
+        try:
+            if self.closed:
+                end_request(
+                    RefusalCode.SHUTTING_DOWN, "the node is shutting down"
+                )
+            kind = self.kind_of(request)
+            if request.key is None:
+                return self.submit_without_key(request, kind)
+            return self.submit_with_key(request, kind)
+        except RequestEnded as ended:
+            return fired(ended.answer)
+
+    def kind_of(self, request: Request) -> KindSpec:
+        """Return the kind of a request.
+
+        :raises RequestEnded: if there is no manifest or no such kind.
+        """
+        manifest = self.manifest.current
+        if manifest is None:
+            end_request(RefusalCode.NO_MANIFEST, "no manifest is in force yet")
+        kind = manifest.kinds.get(request.kind)
+        if kind is None:
+            end_request(
+                RefusalCode.UNKNOWN_KIND,
+                f"kind {request.kind!r} is not in the manifest",
+            )
+        return kind
+
+    def timeout(self, request: Request, kind: KindSpec) -> float:
+        """Return the seconds a request may take."""
+        wanted = request.timeout_ms
+        if wanted is None:
+            return kind.timeout_ms / 1000
+        return min(wanted, kind.timeout_ms) / 1000
+
+    # Requests without a key
+
+    def submit_without_key(
+        self, request: Request, kind: KindSpec
+    ) -> Deferred[Answer]:
+        """Serve a request that cannot be recognised if it is repeated."""
+        if kind.key_required:
+            end_request(
+                RefusalCode.KEY_REQUIRED,
+                f"kind {kind.name} needs an Idempotency-Key issued by a node",
+                key=self.issue_key(),
+            )
+        root = f"{self.incarnation}.{self.random.getrandbits(ROOT_BITS):x}"
+        self.retries.open(root, kind.max_retries)
+        done = self.call_root(request, kind, root, Allowance(kind.max_calls))
+        done.addCallback(self.close_root, root)
+        return done
+
+    def close_root(self, answer: Answer, root: str) -> Answer:
+        """Forget the retry pool of a root that has ended."""
+        self.retries.close(root)
+        return answer
+
+    def call_root(
+        self,
+        request: Request,
+        kind: KindSpec,
+        root: str,
+        allowance: Allowance,
+    ) -> Deferred[Answer]:
+        """Make the first call of a root."""
+        context = CallContext(
+            root=root,
+            root_address=self.transport.address,
+            priority=root_priority(kind.importance, root),
+            deadline=self.clock.seconds() + self.timeout(request, kind),
+            allowance=allowance,
+            depth=1,
+            idempotent=kind.idempotent,
+        )
+        return self.egress.call(request=request, kind=kind, context=context)
+
+    # Requests with a key
+
+    def submit_with_key(
+        self, request: Request, kind: KindSpec
+    ) -> Deferred[Answer]:
+        """Serve a request here or at the node that owns its key."""
+        try:
+            key = Key.parse(request.key)
+            if key.incarnation == self.incarnation:
+                self.keys.check(key)
+                return self.run_key(key, request, kind)
+        except InvalidKey as error:
+            end_request(
+                RefusalCode.KEY_INVALID, str(error), key=self.issue_key()
+            )
+        return self.forward(key, request, kind)
+
+    def run_key(
+        self, key: Key, request: Request, kind: KindSpec
+    ) -> Deferred[Answer]:
+        """Run, join or answer a request whose key this node owns."""
+        state, entry = self.keys.use(key, request.digest())
+        if state is KeyState.ANSWERED:
+            return fired(entry.answer)
+        if state is KeyState.RUNNING:
+            return self.join(entry, kind)
+        if state is not KeyState.FRESH:
+            self.refuse_key(state)
+        self.retries.open(key.signed, kind.max_retries)
+        if entry.runs and not self.retries.take(key.signed):
+            end_request(
+                RefusalCode.ATTEMPTS_EXHAUSTED,
+                "the request has used up its retries",
+                key=self.issue_key(),
+            )
+        done = self.join(entry, kind)
+        self.start_key(key, entry, request, kind)
+        return done
+
+    def refuse_key(self, state: KeyState):
+        """Refuse a key that cannot be used.
+
+        :raises RequestEnded: always.
+        """
+        if state is KeyState.EXPIRED:
+            end_request(
+                RefusalCode.KEY_EXPIRED,
+                "the key is too old to know whether it was used",
+                verdict=Verdict.MAY_HAVE_RUN,
+                key=self.issue_key(),
+            )
+        if state is KeyState.REUSED:
+            end_request(
+                RefusalCode.KEY_REUSED,
+                "the key belongs to another request",
+                key=self.issue_key(),
+            )
+        end_request(RefusalCode.OVERLOADED, "the key table is full")
+
+    def start_key(
+        self, key: Key, entry: KeyEntry, request: Request, kind: KindSpec
+    ):
+        """Start a run of a fresh key."""
+        if entry.allowance is None:
+            entry.allowance = Allowance(kind.max_calls)
+        entry.begin()
+        entry.call = self.call_root(request, kind, key.signed, entry.allowance)
+        entry.call.addCallback(self.keys.finish, entry)
+
+    def join(self, entry: KeyEntry, kind: KindSpec) -> Deferred[Answer]:
+        """Wait for the end of a run that is under way.
+
+        A run that is not idempotent goes on when nobody waits any more:
+        its answer is kept for a repeat of the key.
+        """
+
+        def leave(deferred):
+            entry.waiters.remove(done.callback)
+            if kind.idempotent and not entry.waiters and entry.call:
+                entry.call.cancel()
+            done.callback(
+                refuse(
+                    RefusalCode.CANCELLED,
+                    Verdict.MAY_HAVE_RUN,
+                    "nobody waits for the answer",
+                )
+            )
+
+        done: Deferred[Answer] = Deferred(leave)
+        entry.waiters.append(done.callback)
+        return done
+
+    def forward(
+        self, key: Key, request: Request, kind: KindSpec
+    ) -> Deferred[Answer]:
+        """Send a request to the node that owns its key."""
+        owner = self.members.find(key.incarnation)
+        if owner is None:
+            return fired(self.owner_unreachable("is not known any more"))
+        done: Deferred[Answer] = Deferred(lambda deferred: stop("left"))
+        timeout = self.timeout(request, kind)
+        call_id = self.exchange.open(
+            owner.incarnation, lambda answer: finish(answer)
+        )
+        timer = self.clock.callLater(timeout, lambda: stop("did not answer"))
+
+        def finish(answer: Answer):
+            if timer.active():
+                timer.cancel()
+            done.callback(answer)
+
+        def stop(reason: str):
+            self.exchange.close(call_id)
+            finish(self.owner_unreachable(reason))
+
+        message = Forward(
+            sender=self.incarnation,
+            reply_to=self.transport.address,
+            call_id=call_id,
+            target=owner.incarnation,
+            remaining_ms=timeout * 1000,
+            key=request.key,
+            kind=request.kind,
+            method=request.method,
+            path=request.target,
+            headers=request.headers,
+            body=request.body,
+        )
+        try:
+            self.transport.send(owner.address, message)
+        except SendFailed:
+            stop("is not reachable")
+        return done
+
+    def owner_unreachable(self, reason: str) -> Answer:
+        """Return the refusal for a key whose owner cannot be asked."""
+        return refuse(
+            RefusalCode.KEY_OWNER_UNREACHABLE,
+            Verdict.MAY_HAVE_RUN,
+            f"the node that issued the key {reason}",
+            key=self.issue_key(),
+        )
+
+    def on_forward(self, message: Forward):
+        """Serve a request that another node forwarded to the key's owner."""
+        request = Request(
+            kind=message.kind,
+            method=message.method,
+            target=message.path,
+            headers=message.headers,
+            body=message.body,
+            key=message.key,
+            timeout_ms=max(1, int(message.remaining_ms)),
+        )
+        try:
+            if message.target != self.incarnation:
+                end_request(
+                    RefusalCode.KEY_OWNER_UNREACHABLE,
+                    "the node that issued the key was restarted",
+                    verdict=Verdict.MAY_HAVE_RUN,
+                )
+            done = self.submit(request)
+        except RequestEnded as ended:
+            done = fired(ended.answer)
+        done.addCallback(self.answer_forward, message)
+
+    def answer_forward(self, answer: Answer, message: Forward):
+        """Send the answer of a forwarded request back."""
+        reply = answer_message(
+            answer,
+            sender=self.incarnation,
+            to=message.sender,
+            call_id=message.call_id,
+            draining=self.ingress.draining,
+        )
+        try:
+            self.transport.send(message.reply_to, reply)
+        except SendFailed:
+            # The caller repeats the key and then gets the stored answer.
+            return
+
+    # Calls of the own backend server
+
+    def submit_child(
+        self, request: Request, token: str | None
+    ) -> Deferred[Answer]:
+        """Carry a call that the own backend server makes.
+
+        ``token`` is the context of the request it serves; without a valid
+        one the call has the lowest priority and no retries.
+        """
+        parent = self.ingress.serving.get(token) if token else None
+        try:
+            kind = self.kind_of(request)
+            if parent is None:
+                return self.call_orphan(request, kind)
+            return self.call_child(request, kind, parent)
+        except RequestEnded as ended:
+            return fired(ended.answer)
+
+    def call_orphan(
+        self, request: Request, kind: KindSpec
+    ) -> Deferred[Answer]:
+        """Carry a call that belongs to no request under way."""
+        if kind.key_required:
+            end_request(
+                RefusalCode.NOT_ALLOWED,
+                f"kind {kind.name} needs the context of a request",
+            )
+        root = f"{self.incarnation}.{self.random.getrandbits(ROOT_BITS):x}"
+        context = CallContext(
+            root=root,
+            root_address=self.transport.address,
+            priority=LOWEST_PRIORITY,
+            deadline=self.clock.seconds() + self.timeout(request, kind),
+            allowance=Allowance(kind.max_calls),
+            depth=1,
+            idempotent=kind.idempotent,
+        )
+        return self.egress.call(request=request, kind=kind, context=context)
+
+    def call_child(
+        self, request: Request, kind: KindSpec, parent: Work
+    ) -> Deferred[Answer]:
+        """Carry a call below the request that the server works on."""
+        if parent.context.depth >= MAX_DEPTH:
+            end_request(
+                RefusalCode.NOT_ALLOWED, f"deeper than {MAX_DEPTH} calls"
+            )
+        if kind.idempotent:
+            return self.call_repeatable(request, kind, parent)
+        if parent.context.idempotent:
+            end_request(
+                RefusalCode.NOT_ALLOWED,
+                "an idempotent request may run again, so it cannot call "
+                f"{kind.name}, which is not idempotent",
+            )
+        if request.key is None:
+            end_request(
+                RefusalCode.KEY_REQUIRED,
+                f"kind {kind.name} needs an Idempotency-Key",
+            )
+        return self.call_once(request, kind, parent)
+
+    def call_repeatable(
+        self, request: Request, kind: KindSpec, parent: Work
+    ) -> Deferred[Answer]:
+        """Carry an idempotent child call; a repeat needs a retry."""
+        if request.digest() not in parent.failed_digests:
+            return self.run_child(request, kind, parent)
+        done: Deferred[Answer] = Deferred(self.on_child_cancelled)
+
+        def decide(granted: bool):
+            if done.called:
+                return
+            if granted:
+                self.run_child(request, kind, parent).chainDeferred(done)
+                return
+            done.callback(
+                refuse(
+                    RefusalCode.ATTEMPTS_EXHAUSTED,
+                    Verdict.NOT_RUN,
+                    "the request has used up its retries",
+                )
+            )
+
+        self.retries.ask(
+            parent.context.root_address, parent.context.root, decide
+        )
+        return done
+
+    def on_child_cancelled(self, done: Deferred[Answer]):
+        """End a child call that waits for a decision about its retry."""
+        done.callback(
+            refuse(
+                RefusalCode.CANCELLED,
+                Verdict.MAY_HAVE_RUN,
+                "nobody waits for the answer",
+            )
+        )
+
+    def call_once(
+        self, request: Request, kind: KindSpec, parent: Work
+    ) -> Deferred[Answer]:
+        """Carry a child call that must not run twice."""
+        digest = request.digest()
+        entry = parent.child_keys.get(request.key)
+        if entry is None:
+            entry = parent.child_keys[request.key] = KeyEntry(digest=digest)
+        if entry.digest != digest:
+            end_request(
+                RefusalCode.KEY_REUSED, "the key belongs to another request"
+            )
+        if entry.state is KeyState.ANSWERED:
+            return fired(entry.answer)
+        done = self.join(entry, kind)
+        if entry.state is KeyState.FRESH:
+            entry.begin()
+            child = self.call_repeatable(request, kind, parent)
+            child.addCallback(entry.finish)
+        return done
+
+    def run_child(
+        self, request: Request, kind: KindSpec, parent: Work
+    ) -> Deferred[Answer]:
+        """Make a call on the allowance of its parent."""
+        now = self.clock.seconds()
+        kept, lent = parent.allowance.lend()
+        parent.allowance = kept
+        parent.child_started(now)
+        context = parent.context
+        done = self.egress.call(
+            request=request,
+            kind=kind,
+            context=CallContext(
+                root=context.root,
+                root_address=context.root_address,
+                priority=context.priority,
+                deadline=min(
+                    context.deadline, now + self.timeout(request, kind)
+                ),
+                allowance=lent,
+                depth=context.depth + 1,
+                idempotent=kind.idempotent,
+            ),
+        )
+        if kind.idempotent:
+            parent.child_calls.add(done)
+        done.addCallback(self.on_child_ended, done, request, parent)
+        return done
+
+    def on_child_ended(
+        self,
+        answer: Answer,
+        done: Deferred[Answer],
+        request: Request,
+        parent: Work,
+    ) -> Answer:
+        """Give the parent back what its child call left over."""
+        parent.child_calls.discard(done)
+        parent.allowance = parent.allowance.add(answer.allowance)
+        parent.pressure = min(parent.pressure, answer.pressure)
+        parent.child_finished(self.clock.seconds())
+        if not answer.succeeded:
+            parent.failed_digests.add(request.digest())
+        return answer
+
+    def dump(self) -> dict:
+        """Return counts of requests."""
+        return {"requests": self.requests, "closed": self.closed}
+
+
+def end_request(
+    code: RefusalCode,
+    detail: str,
+    *,
+    verdict: Verdict = Verdict.NOT_RUN,
+    key: str | None = None,
+):
+    """Refuse a request.
+
+    :raises RequestEnded: always.
+    """
+    raise RequestEnded(
+        refuse(code, verdict, detail, allowance=NO_ALLOWANCE, key=key)
+    )
+
+
+def fired(answer: Answer) -> Deferred[Answer]:
+    """Return a Deferred that has fired with an answer."""
+    done: Deferred[Answer] = Deferred()
+    done.callback(answer)
+    return done
--- /dev/null
+++ b/flamingosail/exchange.py
@@ -0,0 +1,160 @@
+"""Matching of answers from other nodes to the calls they answer."""
+
+from collections.abc import Callable
+from itertools import count
+
+from xxhash import xxh64_intdigest
+
+from flamingosail.allowance import Allowance
+from flamingosail.errors import Refusal
+from flamingosail.errors import RefusalCode
+from flamingosail.kernel import Service
+from flamingosail.messages import CallAnswer
+from flamingosail.priority import PRIORITY_RANGE
+from flamingosail.request import Answer
+from flamingosail.request import refuse
+from flamingosail.transport import Transport
+from flamingosail.verdict import Verdict
+
+__all__ = ["Exchange", "answer_message"]
+
+
+class Exchange(Service):
+    """Holds the calls that wait for an answer from another node.
+
+    An answer counts only if it names this incarnation and an open call id,
+    comes from the incarnation that was called, and its body matches its
+    digest. Second and late answers find their call id closed.
+    ``on_draining`` is called with the incarnation of a node whose answer
+    says that it is draining.
+    """
+
+    name = "exchange"
+
+    def __init__(
+        self,
+        *,
+        transport: Transport,
+        incarnation: str,
+        on_draining: Callable[[str], None],
+    ):
+        self.incarnation = incarnation
+        self.on_draining = on_draining
+        self.call_ids = count(1)
+        self.open_calls: dict[int, tuple[str, Callable]] = {}
+        self.stray_answers = 0
+        self.damaged_answers = 0
+        transport.listen(CallAnswer, self.on_answer)
+
+    def open(self, callee: str, on_answer: Callable[[Answer], None]) -> int:
+        """Return a call id that waits for an answer of ``callee``."""
+        call_id = next(self.call_ids)
+        self.open_calls[call_id] = (callee, on_answer)
+        return call_id
+
+    def close(self, call_id: int):
+        """Stop waiting for an answer."""
+        self.open_calls.pop(call_id, None)
+
+    def fail_all(self, callee: str):
+        """End all calls to an incarnation that has been removed."""
+        lost = [
+            call_id
+            for call_id, (name, _) in self.open_calls.items()
+            if name == callee
+        ]
+        for call_id in lost:
+            _, on_answer = self.open_calls.pop(call_id, (None, None))
+            if on_answer is not None:
+                on_answer(
+                    refuse(
+                        RefusalCode.CONNECTION_LOST,
+                        Verdict.MAY_HAVE_RUN,
+                        "the node of the backend server is gone",
+                    )
+                )
+
+    def on_answer(self, message: CallAnswer):
+        """Hand an answer to the call that it belongs to."""
+        waiting = self.open_calls.get(message.call_id)
+        if (
+            waiting is None
+            or message.to != self.incarnation
+            or message.sender != waiting[0]
+        ):
+            self.stray_answers += 1
+            return
+        del self.open_calls[message.call_id]
+        if message.draining:
+            self.on_draining(message.sender)
+        waiting[1](self.checked(message))
+
+    def checked(self, message: CallAnswer) -> Answer:
+        """Return the answer in a message, or a refusal if it is damaged."""
+        try:
+            if xxh64_intdigest(message.body) != message.digest:
+                raise ValueError("the body does not match its digest")
+            return _answer(message)
+        except ValueError as error:
+            self.damaged_answers += 1
+            return refuse(
+                RefusalCode.BAD_ANSWER, Verdict.MAY_HAVE_RUN, str(error)
+            )
+
+    def dump(self) -> dict:
+        """Return the number of open calls and of rejected answers."""
+        return {
+            "open": len(self.open_calls),
+            "stray_answers": self.stray_answers,
+            "damaged_answers": self.damaged_answers,
+        }
+
+
+def _answer(message: CallAnswer) -> Answer:
+    """Return the typed answer.
+
+    :raises ValueError: if a number is out of range.
+    """
+    verdict = Verdict(message.verdict)
+    refusal = None
+    if message.refusal:
+        refusal = Refusal(
+            code=RefusalCode(message.refusal),
+            verdict=verdict,
+            detail=message.detail,
+        )
+    if not 1 <= message.pressure <= PRIORITY_RANGE:
+        raise ValueError(f"pressure {message.pressure} is out of range")
+    return Answer(
+        verdict=verdict,
+        status=message.status,
+        headers=message.headers,
+        body=message.body,
+        refusal=refusal,
+        allowance=Allowance(message.calls),
+        pressure=message.pressure,
+        key=message.key,
+    )
+
+
+def answer_message(
+    answer: Answer, *, sender: str, to: str, call_id: int, draining: bool
+) -> CallAnswer:
+    """Return the message that carries an answer."""
+    refusal = answer.refusal
+    return CallAnswer(
+        sender=sender,
+        to=to,
+        call_id=call_id,
+        verdict=int(answer.verdict),
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+        digest=xxh64_intdigest(answer.body),
+        refusal=refusal.code.value if refusal else "",
+        detail=refusal.detail if refusal else "",
+        calls=answer.allowance.calls,
+        pressure=answer.pressure,
+        draining=draining,
+        key=answer.key,
+    )
--- a/flamingosail/priority.py
+++ b/flamingosail/priority.py
@@ -37,7 +37,7 @@
 
 def root_priority(importance: Importance, root_id: str) -> int:
     """Return the priority number, 0 (most important) to 511."""
-    bucket = xxh64_intdigest(root_id) % PRIORITY_BUCKETS
+    bucket = xxh64_intdigest(root_id.encode()) % PRIORITY_BUCKETS
     return importance * PRIORITY_BUCKETS + bucket
 
 
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,296 @@
+"""Fakes at the interfaces of the decision core.
+
+``Cluster`` holds a few nodes in one process on a paused clock, without
+sockets. Members and manifest are fixed.
+"""
+
+import json
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from flamingosail.backend import Announcement
+from flamingosail.backend import Backend
+from flamingosail.errors import RefusalCode
+from flamingosail.kernel import Kernel
+from flamingosail.manifest import parse_manifest
+from flamingosail.messages import MemberRecord
+from flamingosail.node import add_call_path
+from flamingosail.node import NodePlace
+from flamingosail.request import Answer
+from flamingosail.request import refuse
+from flamingosail.request import Request
+from flamingosail.transport import LoopbackNetwork
+from flamingosail.verdict import Verdict
+
+MANIFEST = {
+    "services": {"histbook": {}, "gatekeeper": {}, "retire-svc": {}},
+    "kinds": {
+        "browse": {
+            "service": "histbook",
+            "importance": "normal",
+            "idempotent": True,
+            "timeout_ms": 2000,
+        },
+        "gate-check": {
+            "service": "gatekeeper",
+            "importance": "critical",
+            "idempotent": True,
+            "timeout_ms": 2000,
+        },
+        "retire": {
+            "service": "retire-svc",
+            "importance": "critical",
+            "idempotent": False,
+            "timeout_ms": 2000,
+            "trust_refusal": True,
+        },
+    },
+}
+NETWORK_SECONDS = 0.001
+
+
+class FixedManifest:
+    """A manifest service whose manifest does not change by itself."""
+
+    def __init__(self, document: dict):
+        self.current = parse_manifest(json.dumps(document).encode(), version=1)
+
+
+class FixedMembers:
+    """A member table that a test edits."""
+
+    def __init__(self, records: dict[str, MemberRecord]):
+        self.records = records
+        self.listeners = []
+
+    def servers(self, service: str) -> tuple[MemberRecord, ...]:
+        return tuple(
+            record
+            for record in self.records.values()
+            if record.service == service and record.state == "ready"
+        )
+
+    def find(self, incarnation: str) -> MemberRecord | None:
+        for record in self.records.values():
+            if record.incarnation == incarnation:
+                return record
+        return None
+
+
+@dataclass
+class Behaviour:
+    """How a fake backend server treats the next requests.
+
+    ``steps`` maps a kind to the requests it makes before it answers.
+    """
+
+    seconds: float = 0.01
+    status: int = 200
+    refuse: bool = False
+    silent: bool = False
+    steps: dict[str, list[Request]] = field(default_factory=dict)
+    repeats: int = 1
+
+
+class FakeBackend(Backend):
+    """A backend server that answers with its request's target."""
+
+    def __init__(self, *, clock: Clock, runs: Counter):
+        self.clock = clock
+        self.runs = runs
+        self.entrance = None
+        self.behaviour = Behaviour()
+        self.cancelled = set()
+        self.peak = 0
+        self.active = 0
+
+    def connect(self, announcement: Announcement):
+        self.announcement = announcement
+
+    def serve(
+        self, *, request: Request, token: str, timeout: float
+    ) -> Deferred:
+        done = Deferred()
+        behaviour = self.behaviour
+        if behaviour.refuse:
+            done.callback(
+                refuse(
+                    RefusalCode.OVERLOADED,
+                    Verdict.NOT_RUN,
+                    "the backend server is busy",
+                )
+            )
+            return done
+        self.runs[(request.kind, request.target)] += 1
+        self.active += 1
+        self.peak = max(self.peak, self.active)
+        expiry = self.clock.callLater(timeout, self.expire, done)
+        if not behaviour.silent:
+            steps = list(behaviour.steps.get(request.kind, ()))
+            self.clock.callLater(
+                behaviour.seconds, self.work, done, request, token, steps
+            )
+        done.addBoth(self.ended, expiry)
+        return done
+
+    def ended(self, result, expiry):
+        self.active -= 1
+        if expiry.active():
+            expiry.cancel()
+        return result
+
+    def expire(self, done):
+        if not done.called:
+            done.callback(
+                refuse(
+                    RefusalCode.DEADLINE_EXCEEDED,
+                    Verdict.MAY_HAVE_RUN,
+                    "no answer in time",
+                )
+            )
+
+    def work(self, done, request, token, steps, tries=1):
+        if done.called:
+            return
+        if token in self.cancelled:
+            self.expire(done)
+            return
+        if not steps:
+            self.reply(done, request, self.behaviour.status)
+            return
+        child = self.entrance.submit_child(steps[0], token)
+        child.addCallback(self.on_child, done, request, token, steps, tries)
+
+    def on_child(self, answer, done, request, token, steps, tries):
+        if answer.succeeded:
+            self.work(done, request, token, steps[1:])
+        elif tries < self.behaviour.repeats:
+            self.work(done, request, token, steps, tries + 1)
+        elif not done.called:
+            self.reply(done, request, 500)
+
+    def reply(self, done, request, status):
+        if not done.called:
+            done.callback(
+                Answer(
+                    verdict=Verdict.RAN,
+                    status=status,
+                    body=request.target.encode(),
+                )
+            )
+
+    def cancel(self, token: str):
+        self.cancelled.add(token)
+
+
+@dataclass
+class FakeNode:
+    """One node of a Cluster."""
+
+    record: MemberRecord
+    kernel: Kernel
+    backend: FakeBackend
+
+    def __getattr__(self, name):
+        return self.kernel.get(name)
+
+
+class Cluster:
+    """Nodes on a LoopbackNetwork, one for each fake backend server.
+
+    ``servers`` maps a service to its number of nodes. ``delay`` may be
+    replaced; it gets source, destination and message.
+    """
+
+    def __init__(
+        self, servers: dict[str, int], *, manifest=MANIFEST, slots=20, seed=1
+    ):
+        self.clock = Clock()
+        self.random = Random(seed)
+        self.runs = Counter()
+        self.slots = slots
+        self.manifest = FixedManifest(manifest)
+        self.members = FixedMembers({})
+        self.delay = lambda source, destination, message: NETWORK_SECONDS
+        self.network = LoopbackNetwork(
+            clock=self.clock, delay=lambda *args: self.delay(*args)
+        )
+        self.nodes: dict[str, FakeNode] = {}
+        for service, number in servers.items():
+            for index in range(number):
+                self.add_node(f"{service}-{index}", service)
+
+    def add_node(self, name: str, service: str, nonce: str = "1"):
+        """Start a node, in place of an earlier one of the same name."""
+        record = MemberRecord(
+            node=name,
+            incarnation=f"{name}~{nonce}",
+            version=1,
+            address=name,
+            failure_domain="kolkata-n",
+            region="west-bengal",
+            service=service,
+            state="ready",
+        )
+        kernel = Kernel()
+        backend = FakeBackend(clock=self.clock, runs=self.runs)
+        backend.entrance = add_call_path(
+            kernel,
+            clock=self.clock,
+            random=Random(self.random.getrandbits(32)),
+            transport=self.network.attach(name),
+            place=NodePlace(
+                incarnation=record.incarnation,
+                failure_domain=record.failure_domain,
+                region=record.region,
+            ),
+            backend=backend,
+            members=self.members,
+            manifest=self.manifest,
+        )
+        kernel.start()
+        node = FakeNode(record=record, kernel=kernel, backend=backend)
+        kernel.get("ingress").announce(
+            Announcement(
+                service=service,
+                host="127.0.0.1",
+                port=1,
+                slots=self.slots,
+                connections=10 * self.slots,
+            )
+        )
+        kernel.get("ingress").limit.limit = float(self.slots)
+        self.members.records[name] = record
+        self.nodes[name] = node
+        return node
+
+    def kill(self, name: str):
+        """Stop a node at once; its peers learn of it later."""
+        self.network.detach(name)
+        del self.nodes[name]
+
+    def remove(self, name: str):
+        """Take a node out of the member table."""
+        record = self.members.records.pop(name)
+        for node in self.nodes.values():
+            node.exchange.fail_all(record.incarnation)
+        for listener in self.members.listeners:
+            listener()
+
+    def advance(self, seconds: float, step: float = 0.001):
+        """Let time pass."""
+        for _ in range(round(seconds / step)):
+            self.clock.advance(step)
+
+    def send(self, name: str, kind: str, target="/", **fields) -> list:
+        """Submit a request at a node; the list gets the answer."""
+        answers = []
+        request = Request(kind=kind, method="POST", target=target, **fields)
+        done = self.nodes[name].entrance.submit(request)
+        done.addCallback(answers.append)
+        return answers
--- /dev/null
+++ b/tests/test_callpath.py
@@ -0,0 +1,171 @@
+"""Tests of calls through several nodes, without sockets."""
+
+from testtools import TestCase
+
+from flamingosail.errors import RefusalCode
+from flamingosail.messages import CallAnswer
+from flamingosail.request import Request
+from flamingosail.verdict import Verdict
+from tests.fakes import Cluster
+
+
+class CallPathTest(TestCase):
+    """Guards the path of a call, its verdicts and its bounds."""
+
+    def test_answers_over_two_nodes(self):
+        cluster = Cluster({"histbook": 1, "gatekeeper": 1})
+        answers = cluster.send("histbook-0", "gate-check", "/helmet/7")
+        cluster.advance(0.1)
+        self.assertEqual(b"/helmet/7", answers[0].body)
+        self.assertEqual(Verdict.RAN, answers[0].verdict)
+
+    def test_child_call_inherits_priority_and_returns_calls(self):
+        cluster = Cluster({"histbook": 1, "gatekeeper": 1})
+        cluster.nodes["gatekeeper-0"].backend.behaviour.steps = {
+            "gate-check": [
+                Request(kind="browse", method="GET", target="/history")
+            ]
+        }
+        seen = []
+
+        def delay(source, destination, message):
+            if hasattr(message, "priority"):
+                seen.append((message.kind, message.priority))
+            return 0.001
+
+        cluster.delay = delay
+        answers = cluster.send("histbook-0", "gate-check")
+        cluster.advance(0.1)
+        self.assertTrue(answers[0].succeeded)
+        self.assertEqual(["gate-check", "browse"], [k for k, _ in seen])
+        self.assertEqual(1, len({priority for _, priority in seen}))
+        self.assertEqual(256 - 2, answers[0].allowance.calls)
+
+    def test_non_idempotent_kind_needs_a_key(self):
+        cluster = Cluster({"histbook": 1, "retire-svc": 1})
+        answers = cluster.send("histbook-0", "retire")
+        refusal = answers[0].refusal
+        self.assertEqual(RefusalCode.KEY_REQUIRED, refusal.code)
+        self.assertEqual(Verdict.NOT_RUN, refusal.verdict)
+        key = answers[0].key
+        answers = cluster.send("histbook-0", "retire", key=key)
+        cluster.advance(0.1)
+        self.assertTrue(answers[0].succeeded)
+
+    def test_repeated_key_at_another_node_runs_once(self):
+        cluster = Cluster({"histbook": 2, "retire-svc": 2})
+        key = cluster.nodes["histbook-0"].entrance.issue_key()
+        first = cluster.send("histbook-0", "retire", "/1", key=key)
+        second = cluster.send("histbook-1", "retire", "/1", key=key)
+        cluster.advance(0.1)
+        third = cluster.send("retire-svc-1", "retire", "/1", key=key)
+        cluster.advance(0.1)
+        self.assertEqual(1, cluster.runs[("retire", "/1")])
+        for answers in (first, second, third):
+            self.assertEqual(b"/1", answers[0].body)
+
+    def test_key_of_a_lost_node_never_runs_again(self):
+        cluster = Cluster({"histbook": 2, "retire-svc": 2})
+        key = cluster.nodes["histbook-0"].entrance.issue_key()
+        cluster.send("histbook-0", "retire", "/1", key=key)
+        cluster.advance(0.1)
+        cluster.kill("histbook-0")
+        cluster.add_node("histbook-0", "histbook", nonce="2")
+        for name in ("histbook-0", "histbook-1"):
+            answers = cluster.send(name, "retire", "/1", key=key)
+            cluster.advance(0.1)
+            refusal = answers[0].refusal
+            self.assertEqual(RefusalCode.KEY_OWNER_UNREACHABLE, refusal.code)
+            self.assertEqual(Verdict.MAY_HAVE_RUN, refusal.verdict)
+        self.assertEqual(1, cluster.runs[("retire", "/1")])
+
+    def test_lost_answer_of_non_idempotent_call_is_not_retried(self):
+        cluster = Cluster({"histbook": 1, "retire-svc": 3})
+        cluster.delay = lambda source, destination, message: (
+            None if isinstance(message, CallAnswer) else 0.001
+        )
+        key = cluster.nodes["histbook-0"].entrance.issue_key()
+        answers = cluster.send("histbook-0", "retire", "/1", key=key)
+        cluster.advance(3, step=0.01)
+        self.assertEqual(Verdict.MAY_HAVE_RUN, answers[0].verdict)
+        self.assertEqual(1, cluster.runs[("retire", "/1")])
+
+    def test_repeats_of_all_hops_are_bounded_by_the_root(self):
+        cluster = Cluster({"histbook": 3, "gatekeeper": 3})
+        for name, node in cluster.nodes.items():
+            if name.startswith("gatekeeper"):
+                node.backend.behaviour.repeats = 10
+                node.backend.behaviour.steps = {
+                    "gate-check": [
+                        Request(kind="browse", method="GET", target="/h")
+                    ]
+                }
+            else:
+                node.backend.behaviour.status = 500
+        cluster.send("gatekeeper-0", "gate-check", "/g")
+        cluster.advance(3, step=0.01)
+        self.assertEqual(1, cluster.runs[("gate-check", "/g")])
+        self.assertEqual(1 + 3, cluster.runs[("browse", "/h")])
+
+    def test_duplicated_messages_run_once(self):
+        cluster = Cluster({"histbook": 1, "retire-svc": 1})
+        carry = cluster.network.carry
+
+        def carry_twice(source, address, message):
+            carry(source, address, message)
+            return carry(source, address, message)
+
+        cluster.network.carry = carry_twice
+        key = cluster.nodes["histbook-0"].entrance.issue_key()
+        answers = cluster.send("histbook-0", "retire", "/1", key=key)
+        cluster.advance(0.1)
+        self.assertTrue(answers[0].succeeded)
+        self.assertEqual(1, cluster.runs[("retire", "/1")])
+        self.assertEqual(1, cluster.nodes["histbook-0"].exchange.stray_answers)
+
+    def test_idempotent_call_is_retried_when_its_server_is_killed(self):
+        cluster = Cluster({"histbook": 1, "gatekeeper": 3}, seed=3)
+        answers = cluster.send("histbook-0", "gate-check", "/g")
+        cluster.advance(0.005)
+        [victim] = [
+            name
+            for name, node in cluster.nodes.items()
+            if node.ingress.in_flight
+        ]
+        cluster.kill(victim)
+        cluster.remove(victim)
+        cluster.advance(0.2)
+        self.assertTrue(answers[0].succeeded)
+
+    def test_overload_sheds_low_importance_first(self):
+        cluster = Cluster({"histbook": 1, "gatekeeper": 1}, slots=2)
+        cluster.nodes["gatekeeper-0"].backend.behaviour.seconds = 0.02
+        manifest = cluster.manifest.current
+        kinds = manifest.kinds
+        object.__setattr__(
+            manifest,
+            "kinds",
+            {**kinds, "browse": _moved(kinds["browse"], "gatekeeper")},
+        )
+        checks, browses = [], []
+        for tick in range(2000):
+            if tick % 50 == 0:
+                checks.append(
+                    cluster.send("histbook-0", "gate-check", f"/{tick}")
+                )
+            if tick % 3 == 0:
+                browses.append(
+                    cluster.send("histbook-0", "browse", f"/{tick}")
+                )
+            cluster.advance(0.001)
+        cluster.advance(3, step=0.01)
+        good = [a for a in checks if a[0].succeeded]
+        self.assertEqual(len(checks), len(good))
+        shed = [a for a in browses if not a[0].succeeded]
+        self.assertGreater(len(shed), len(browses) // 2)
+
+
+def _moved(kind, service):
+    from dataclasses import replace
+
+    return replace(kind, service=service)
