--- /dev/null
+++ b/baseline/__init__.py
@@ -0,0 +1,1 @@
+"""A naive version of the path of a call, to compare with."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,6 +6,7 @@
 
 import json
 from collections import Counter
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 from random import Random
@@ -98,10 +99,16 @@
 
 
 class FakeBackend(Backend):
-    """A backend server that answers with its request's target."""
+    """A backend server that answers with its request's target.
 
-    def __init__(self, *, clock: Clock, runs: Counter):
+    It works on ``slots`` requests at a time, others wait in order; it goes
+    on with a request whose answer nobody takes, unless it is cancelled.
+    """
+
+    def __init__(self, *, clock: Clock, runs: Counter, slots: int):
         self.clock = clock
+        self.slots = slots
+        self.waiting = deque()
         self.runs = runs
         self.entrance = None
         self.behaviour = Behaviour()
@@ -116,8 +123,7 @@
         self, *, request: Request, token: str, timeout: float
     ) -> Deferred:
         done = Deferred()
-        behaviour = self.behaviour
-        if behaviour.refuse:
+        if self.behaviour.refuse:
             done.callback(
                 refuse(
                     RefusalCode.OVERLOADED,
@@ -126,20 +132,29 @@
                 )
             )
             return done
+        expiry = self.clock.callLater(timeout, self.expire, done)
+        done.addBoth(self.stop_timer, expiry)
+        self.waiting.append((done, request, token))
+        self.run_waiting()
+        return done
+
+    def run_waiting(self):
+        while self.waiting and self.active < self.slots:
+            done, request, token = self.waiting.popleft()
+            if token not in self.cancelled:
+                self.run(done, request, token)
+
+    def run(self, done, request, token):
         self.runs[(request.kind, request.target)] += 1
         self.active += 1
         self.peak = max(self.peak, self.active)
-        expiry = self.clock.callLater(timeout, self.expire, done)
-        if not behaviour.silent:
-            steps = list(behaviour.steps.get(request.kind, ()))
+        if not self.behaviour.silent:
+            steps = list(self.behaviour.steps.get(request.kind, ()))
             self.clock.callLater(
-                behaviour.seconds, self.work, done, request, token, steps
+                self.behaviour.seconds, self.work, done, request, token, steps
             )
-        done.addBoth(self.ended, expiry)
-        return done
 
-    def ended(self, result, expiry):
-        self.active -= 1
+    def stop_timer(self, result, expiry):
         if expiry.active():
             expiry.cancel()
         return result
@@ -155,10 +170,9 @@
             )
 
     def work(self, done, request, token, steps, tries=1):
-        if done.called:
-            return
         if token in self.cancelled:
             self.expire(done)
+            self.leave()
             return
         if not steps:
             self.reply(done, request, self.behaviour.status)
@@ -171,10 +185,15 @@
             self.work(done, request, token, steps[1:])
         elif tries < self.behaviour.repeats:
             self.work(done, request, token, steps, tries + 1)
-        elif not done.called:
+        else:
             self.reply(done, request, 500)
 
+    def leave(self):
+        self.active -= 1
+        self.run_waiting()
+
     def reply(self, done, request, status):
+        self.leave()
         if not done.called:
             done.callback(
                 Answer(
@@ -208,8 +227,15 @@
     """
 
     def __init__(
-        self, servers: dict[str, int], *, manifest=MANIFEST, slots=20, seed=1
+        self,
+        servers: dict[str, int],
+        *,
+        manifest=MANIFEST,
+        slots=20,
+        seed=1,
+        add_path=add_call_path,
     ):
+        self.add_path = add_path
         self.clock = Clock()
         self.random = Random(seed)
         self.runs = Counter()
@@ -238,8 +264,10 @@
             state="ready",
         )
         kernel = Kernel()
-        backend = FakeBackend(clock=self.clock, runs=self.runs)
-        backend.entrance = add_call_path(
+        backend = FakeBackend(
+            clock=self.clock, runs=self.runs, slots=self.slots
+        )
+        backend.entrance = self.add_path(
             kernel,
             clock=self.clock,
             random=Random(self.random.getrandbits(32)),
@@ -264,7 +292,9 @@
                 connections=10 * self.slots,
             )
         )
-        kernel.get("ingress").limit.limit = float(self.slots)
+        if self.add_path is add_call_path:
+            # A warm server; the ramp of cold ones has its own tests.
+            kernel.get("ingress").limit.limit = float(self.slots)
         self.members.records[name] = record
         self.nodes[name] = node
         return node
