--- /dev/null
+++ b/flamingosail/httpwire.py
@@ -0,0 +1,365 @@
+"""HTTP/1.1 server connections on twisted protocols.
+
+Requests are parsed with httptools; every answer is one write. The limits
+apply to one request: 16 KiB of header, 1 MiB of body, 10 s to arrive.
+Requests are not pipelined: the first one is answered, then the connection
+is closed.
+"""
+
+from http import HTTPStatus
+from typing import Protocol as Interface
+
+from httptools import HttpParserError
+from httptools import HttpParserUpgrade
+from httptools import HttpRequestParser
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.protocol import Protocol
+
+from flamingosail.errors import RefusalCode
+from flamingosail.request import Headers
+
+__all__ = [
+    "HttpHandler",
+    "HttpServerProtocol",
+    "MAX_BODY_BYTES",
+    "MAX_HEADER_BYTES",
+    "encode_message",
+    "header_bytes",
+    "status_line",
+]
+
+MAX_HEADER_BYTES = 16_384
+MAX_BODY_BYTES = 1_048_576
+# Chunk sizes, extensions and trailers count as well, so that a body of tiny
+# chunks cannot go on without end.
+MAX_MESSAGE_BYTES = 8 * MAX_BODY_BYTES
+RECEIVE_TIMEOUT_SECONDS = 10.0
+# Closing with unread input resets the connection, and the reset can destroy
+# the answer before the client reads it. Input is discarded for this long.
+LINGER_SECONDS = 2.0
+# Time for the client to read the last answer of a connection.
+CLOSE_TIMEOUT_SECONDS = 30.0
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Statuses whose answers have no body and no Content-Length (RFC 9110).
+BODILESS = frozenset({204, 304})
+_STATUS_LINES = {
+    status.value: b"HTTP/1.1 %d %s\r\n"
+    % (status.value, status.phrase.encode())
+    for status in HTTPStatus
+}
+_STATUS_LINES[499] = b"HTTP/1.1 499 Client Closed Request\r\n"
+
+
+def status_line(status: int) -> bytes:
+    """Return the first line of an answer."""
+    return _STATUS_LINES.get(status) or b"HTTP/1.1 %d -\r\n" % status
+
+
+def encode_message(
+    first: bytes, headers: Headers, body: bytes, length: int | None
+) -> bytes:
+    """Return a whole message.
+
+    ``first`` is the first line, and may be followed by header lines.
+    ``length`` becomes Content-Length; None leaves it out.
+    """
+    parts = [first]
+    for name, value in headers:
+        parts += (name, b": ", value, b"\r\n")
+    if length is not None:
+        parts.append(b"Content-Length: %d\r\n" % length)
+    parts += (b"\r\n", body)
+    return b"".join(parts)
+
+
+def header_bytes(headers: list[tuple[bytes, bytes]]) -> int:
+    """Return how many bytes the header lines take."""
+    return sum(len(name) + len(value) + 4 for name, value in headers)
+
+
+class HttpHandler(Interface):
+    """What a server connection calls."""
+
+    def connected(self, connection: "HttpServerProtocol"):
+        """A client has connected."""
+
+    def disconnected(self, connection: "HttpServerProtocol"):
+        """The connection is gone; an answer can no longer be sent."""
+
+    def handle(
+        self,
+        connection: "HttpServerProtocol",
+        method: bytes,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+    ):
+        """A request is complete; call ``connection.answer`` once."""
+
+    def reject(
+        self, connection: "HttpServerProtocol", code: RefusalCode, detail: str
+    ):
+        """A request was not accepted; call ``connection.answer`` once."""
+
+
+class _Rejected(Exception):
+    """Stops the parser within a callback."""
+
+    def __init__(self, code: RefusalCode, detail: str):
+        super().__init__(detail)
+        self.code = code
+        self.detail = detail
+
+
+class HttpServerProtocol(Protocol):
+    """One connection of a client.
+
+    ``answering`` is set from the moment a request is complete until its
+    answer is handed to the transport; ``receiving`` while a request has
+    arrived in part.
+    """
+
+    def __init__(self, *, clock: IReactorTime, handler: HttpHandler):
+        self.clock = clock
+        self.handler = handler
+        self.answering = False
+        self.receiving = False
+        self.closing = False
+        self.paused = False
+        self.pipelined = False
+        self.timer = None
+        self.parser = HttpRequestParser(self)
+        self.reset()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is here that is not yet written out."""
+        return self.answering or self.receiving or self.closing or self.paused
+
+    def reset(self):
+        """Prepare for the next request."""
+        self.complete = False
+        self.method = b""
+        self.target = b""
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.chunks: list[bytes] = []
+        self.body_bytes = 0
+        self.message_bytes = 0
+        self.in_body = False
+        self.keep_alive = True
+
+    # twisted calls these.
+
+    def connectionMade(self):  # noqa: N802 - named by twisted
+        """Prepare the transport and report the connection."""
+        set_no_delay = getattr(self.transport, "setTcpNoDelay", None)
+        if set_no_delay is not None:
+            set_no_delay(True)
+        self.transport.registerProducer(self, True)
+        self.handler.connected(self)
+
+    def dataReceived(self, data):  # noqa: N802 - named by twisted
+        """Parse input and hand a complete request to the handler."""
+        if self.closing or self.pipelined:
+            return
+        self.message_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+            self.check_size()
+        except (HttpParserError, HttpParserUpgrade, _Rejected) as error:
+            self.parse_failed(error)
+            return
+        if self.complete and not self.answering:
+            self.dispatch()
+        elif self.message_bytes and not self.receiving and not self.complete:
+            self.receiving = True
+            self.timer = self.clock.callLater(
+                RECEIVE_TIMEOUT_SECONDS, self.receive_timed_out
+            )
+
+    def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
+        """Stop the timer and report the end."""
+        self.stop_timer()
+        self.receiving = self.closing = self.paused = False
+        self.handler.disconnected(self)
+        self.answering = False
+
+    def pauseProducing(self):  # noqa: N802 - named by twisted
+        """Note that an answer waits in the transport's buffer."""
+        self.paused = True
+
+    def resumeProducing(self):  # noqa: N802 - named by twisted
+        """Note that the transport's buffer is empty again."""
+        self.paused = False
+
+    def stopProducing(self):  # noqa: N802 - named by twisted
+        """Do nothing: connectionLost follows."""
+
+    # The parser calls these.
+
+    def on_url(self, url: bytes):
+        """Note the target, or that the client does not wait."""
+        if self.complete:
+            self.pipelined = True
+        else:
+            self.target += url
+
+    def on_header(self, name: bytes, value: bytes):
+        """Collect a header; trailers are dropped."""
+        if not self.in_body and not self.complete:
+            self.headers.append((name, value))
+
+    def on_headers_complete(self):
+        """Check the header before the body arrives."""
+        if self.complete:
+            return
+        self.in_body = True
+        if self.message_bytes > MAX_HEADER_BYTES:
+            size = len(self.target) + header_bytes(self.headers)
+            if size > MAX_HEADER_BYTES:
+                raise header_too_large()
+        if self.parser.should_upgrade():
+            raise _Rejected(
+                RefusalCode.MALFORMED, "CONNECT and Upgrade are not supported"
+            )
+        for name, value in self.headers:
+            size = len(name)
+            if size == 14 and name.lower() == b"content-length":
+                if int(value) > MAX_BODY_BYTES:
+                    raise body_too_large()
+            elif size == 6 and name.lower() == b"expect":
+                self.transport.write(CONTINUE)
+
+    def on_body(self, data: bytes):
+        """Collect a part of the body."""
+        if self.complete:
+            return
+        self.body_bytes += len(data)
+        if self.body_bytes > MAX_BODY_BYTES:
+            raise body_too_large()
+        self.chunks.append(data)
+
+    def on_message_complete(self):
+        """Note that the request can be handled once parsing returns."""
+        if not self.complete:
+            self.complete = True
+            # The parser forgets both when it goes on to the next message.
+            self.method = self.parser.get_method()
+            self.keep_alive = (
+                self.parser.should_keep_alive()
+                and self.parser.get_http_version() == "1.1"
+            )
+
+    # Requests and answers.
+
+    def check_size(self):
+        """Limit what arrives before the parser reports it."""
+        if self.complete:
+            return
+        if not self.in_body:
+            if self.message_bytes > MAX_HEADER_BYTES:
+                raise header_too_large()
+        elif self.message_bytes > MAX_MESSAGE_BYTES:
+            raise body_too_large()
+
+    def parse_failed(self, error: Exception):
+        """Answer an unacceptable request, unless an earlier one waits."""
+        if self.complete:
+            self.pipelined = True
+            if not self.answering:
+                self.dispatch()
+            return
+        cause = error.__context__
+        if isinstance(cause, _Rejected):
+            error = cause
+        if not isinstance(error, _Rejected):
+            detail = f"not an HTTP/1.1 request: {error}"
+            error = _Rejected(RefusalCode.MALFORMED, detail)
+        self.pipelined = True
+        self.begin_answer()
+        self.handler.reject(self, error.code, error.detail)
+
+    def dispatch(self):
+        """Hand the complete request to the handler."""
+        self.begin_answer()
+        chunks = self.chunks
+        body = chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        self.handler.handle(self, self.method, self.target, self.headers, body)
+
+    def begin_answer(self):
+        """Note that a request waits for its answer."""
+        self.stop_timer()
+        self.receiving = False
+        self.answering = True
+
+    def answer(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes = b"",
+        *,
+        close: bool = False,
+    ):
+        """Write the answer; does nothing if the client is gone."""
+        if not self.answering:
+            return
+        self.answering = False
+        close = close or self.pipelined or not self.keep_alive
+        length = len(body)
+        if status in BODILESS:
+            body, length = b"", None
+        elif self.method == b"HEAD":
+            body = b""
+        first = status_line(status)
+        if close:
+            first += b"Connection: close\r\n"
+        self.transport.write(encode_message(first, headers, body, length))
+        if close:
+            self.close()
+        else:
+            self.reset()
+
+    def close(self):
+        """Close once everything is written."""
+        if self.closing:
+            return
+        self.closing = True
+        self.stop_timer()
+        self.transport.unregisterProducer()
+        if self.pipelined:
+            self.transport.loseWriteConnection()
+            self.timer = self.clock.callLater(
+                LINGER_SECONDS, self.transport.abortConnection
+            )
+        else:
+            self.transport.loseConnection()
+            self.timer = self.clock.callLater(
+                CLOSE_TIMEOUT_SECONDS, self.transport.abortConnection
+            )
+
+    def receive_timed_out(self):
+        """Cut off a client that sends its request too slowly."""
+        self.timer = None
+        self.transport.abortConnection()
+
+    def stop_timer(self):
+        """Cancel the timer, if one runs."""
+        timer, self.timer = self.timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+
+def header_too_large() -> _Rejected:
+    """Return the error for a header above the limit."""
+    return _Rejected(
+        RefusalCode.HEADER_TOO_LARGE,
+        f"the header exceeds {MAX_HEADER_BYTES} bytes",
+    )
+
+
+def body_too_large() -> _Rejected:
+    """Return the error for a body above the limit."""
+    return _Rejected(
+        RefusalCode.BODY_TOO_LARGE, f"the body exceeds {MAX_BODY_BYTES} bytes"
+    )
