--- a/flamingosail/httpwire.py
+++ b/flamingosail/httpwire.py
@@ -181,9 +181,9 @@
     def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
         """Stop the timer and report the end."""
         self.stop_timer()
-        self.receiving = self.closing = self.paused = False
+        self.answering = self.receiving = False
+        self.closing = self.paused = False
         self.handler.disconnected(self)
-        self.answering = False
 
     def pauseProducing(self):  # noqa: N802 - named by twisted
         """Note that an answer waits in the transport's buffer."""
