Add the HTTP client of the backend server

The node carries requests to its own backend server over at most the announced number of keep-alive connections.

Before an idle connection is reused, its socket is peeked at, so that a close or unread input which the reactor has not seen yet neither costs a request nor is taken for its answer.

--- /dev/null
+++ b/flamingosail/backendpool.py
@@ -0,0 +1,169 @@
+"""Keep-alive connections to the node's own backend server."""
+
+import socket
+from collections import deque
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IConnector
+from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.protocol import ClientFactory
+
+from flamingosail.backend import Announcement
+from flamingosail.httpclient import HttpClientProtocol
+
+__all__ = ["BackendPool", "PooledConnection"]
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+USER_TIMEOUT_MS = 2000
+KEEPALIVE_SECONDS = 1
+
+
+class PooledConnection(HttpClientProtocol):
+    """A connection that tells its pool when it opens and closes."""
+
+    def __init__(self, *, pool: "BackendPool", opened: Deferred):
+        super().__init__()
+        self.pool = pool
+        self.opened = opened
+
+    def connectionMade(self):  # noqa: N802 - named by twisted
+        """Set socket options and report the connection."""
+        super().connectionMade()
+        detect_dead_peer(self.transport)
+        self.opened.callback(self)
+
+    def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
+        """Leave the pool before the waiting request ends."""
+        self.pool.release(self)
+        super().connectionLost(reason)
+
+
+class PooledConnectionFactory(ClientFactory):
+    """Opens one connection; ``opened`` fires with it or its failure."""
+
+    noisy = False
+
+    def __init__(self, pool: "BackendPool"):
+        self.pool = pool
+        self.opened = Deferred()
+
+    def buildProtocol(self, addr):  # noqa: N802 - named by twisted
+        """Return the protocol of the connection."""
+        return PooledConnection(pool=self.pool, opened=self.opened)
+
+    def clientConnectionFailed(  # noqa: N802 - named by twisted
+        self, connector, reason
+    ):
+        """Report that there is no connection."""
+        self.opened.errback(reason)
+
+
+class BackendPool:
+    """Opens, keeps and bounds the connections of one announcement."""
+
+    def __init__(self, *, reactor: IReactorTCP, announcement: Announcement):
+        self.reactor = reactor
+        self.announcement = announcement
+        host = announcement.host
+        host = f"[{host}]" if ":" in host else host
+        self.host = f"{host}:{announcement.port}".encode("ascii")
+        self.idle: deque[PooledConnection] = deque()
+        self.open: set[PooledConnection] = set()
+        self.connecting = 0
+        self.closed = False
+
+    @property
+    def full(self) -> bool:
+        """Whether no further connection may be opened."""
+        limit = self.announcement.connections
+        return len(self.open) + self.connecting >= limit
+
+    def take_idle(self) -> PooledConnection | None:
+        """Return the connection used last that is still intact, if any."""
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.intact():
+                return connection
+            self.discard(connection)
+        return None
+
+    def connect(self, timeout: float) -> tuple[IConnector, Deferred]:
+        """Open a connection; the Deferred fires with it."""
+        self.connecting += 1
+        factory = PooledConnectionFactory(self)
+        factory.opened.addCallbacks(self.connected, self.connect_failed)
+        return self.dial(factory, timeout), factory.opened
+
+    def connect_apart(self, timeout: float) -> Deferred:
+        """Open a connection that does not count and is not kept."""
+        factory = PooledConnectionFactory(self)
+        self.dial(factory, timeout)
+        return factory.opened
+
+    def dial(self, factory: ClientFactory, timeout: float) -> IConnector:
+        """Start to connect."""
+        return self.reactor.connectTCP(
+            self.announcement.host,
+            self.announcement.port,
+            factory,
+            timeout=min(timeout, CONNECT_TIMEOUT_SECONDS),
+        )
+
+    def connected(self, connection: PooledConnection) -> PooledConnection:
+        """Count a new connection."""
+        self.connecting -= 1
+        self.open.add(connection)
+        return connection
+
+    def connect_failed(self, failure):
+        """Count a failed attempt."""
+        self.connecting -= 1
+        return failure
+
+    def put_back(self, connection: PooledConnection):
+        """Keep a connection for the next request, if it can take one."""
+        if connection.idle and not self.closed:
+            self.idle.append(connection)
+        else:
+            self.discard(connection)
+
+    def discard(self, connection: PooledConnection):
+        """Close a connection and forget it."""
+        self.release(connection)
+        if connection.open:
+            connection.abort()
+
+    def release(self, connection: PooledConnection):
+        """Forget a connection that closed."""
+        self.open.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def close(self):
+        """Close the idle connections now and the others after their use."""
+        self.closed = True
+        while self.idle:
+            self.discard(self.idle.pop())
+
+    def abort(self):
+        """Close all connections now."""
+        self.close()
+        for connection in list(self.open):
+            self.discard(connection)
+
+
+def detect_dead_peer(transport):
+    """Set keepalive and the TCP user timeout where the platform has them."""
+    set_keep_alive = getattr(transport, "setTcpKeepAlive", None)
+    if set_keep_alive is None:
+        return
+    set_keep_alive(True)
+    handle = transport.getHandle()
+    for option, value in (
+        ("TCP_USER_TIMEOUT", USER_TIMEOUT_MS),
+        ("TCP_KEEPIDLE", KEEPALIVE_SECONDS),
+        ("TCP_KEEPINTVL", KEEPALIVE_SECONDS),
+    ):
+        number = getattr(socket, option, None)
+        if number is not None:
+            handle.setsockopt(socket.IPPROTO_TCP, number, value)
--- a/flamingosail/callerhttp.py
+++ b/flamingosail/callerhttp.py
@@ -17,6 +17,9 @@
 
 from flamingosail.errors import Refusal
 from flamingosail.errors import RefusalCode
+from flamingosail.httpheaders import drop_named
+from flamingosail.httpheaders import DROPPED_HEADERS
+from flamingosail.httpheaders import NODE_PREFIX
 from flamingosail.httpwire import HttpServerProtocol
 from flamingosail.request import Answer
 from flamingosail.request import refuse
@@ -46,25 +49,6 @@
         RefusalCode.SHUTTING_DOWN,
     }
 )
-# Headers that concern one connection (RFC 9110, section 7.6.1) or that this
-# hop sets anew.
-DROPPED_HEADERS = frozenset(
-    {
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"host",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-PREFIX = b"flamingosail-"
 _VERDICT_HEADERS = {
     verdict: (b"Flamingosail-Verdict", verdict.label.encode())
     for verdict in Verdict
@@ -227,7 +211,7 @@
         connection = None
         for header in headers:
             name = header[0].lower()
-            if name == b"idempotency-key" or name.startswith(PREFIX):
+            if name == b"idempotency-key" or name.startswith(NODE_PREFIX):
                 read_control(control, name, header)
             elif name not in DROPPED_HEADERS:
                 kept.append(header)
@@ -350,12 +334,6 @@
     return int(text)
 
 
-def drop_named(headers: list, connection: bytes) -> list:
-    """Return the headers that the Connection header does not name."""
-    names = {name.strip().lower() for name in connection.split(b",")}
-    return [item for item in headers if item[0].lower() not in names]
-
-
 def encode_refusal(refusal: Refusal) -> tuple[tuple, bytes]:
     """Return headers and body of the problem details (RFC 9457)."""
     code = refusal.code
