Add the ZeroMQ transport

Nodes exchange messages over TCP and must know which were never sent.

Each node binds a PULL socket and opens a PUSH socket per peer, both read on the reactor through the edge-triggered descriptor of libzmq. Messages for a peer whose connection does not stand yet wait for at most 500 ms; those that are dropped then were never handed to libzmq, and on_dropped reports them as proof of not sent. LINGER is 0 except in stop(), which waits up to 200 ms, because the last answers of a leaving node would otherwise be discarded.

--- /dev/null
+++ b/tests/test_zmqtransport.py
@@ -0,0 +1,226 @@
+"""Tests of the ZeroMQ transport."""
+
+import socket
+
+import zmq
+from testtools import TestCase
+
+from flamingosail.codec import encode
+from flamingosail.errors import SendFailed
+from flamingosail.messages import Cancel
+from flamingosail.messages import ManifestCopy
+from flamingosail.messages import ManifestPull
+from flamingosail.zmqtransport import CONNECT_QUEUE_MESSAGES
+from flamingosail.zmqtransport import IDLE_SECONDS
+from flamingosail.zmqtransport import MESSAGES_PER_TURN
+from flamingosail.zmqtransport import ZmqTransport
+from tests.loops import Loop
+
+
+def cancel(number):
+    return Cancel(sender="n~1", call_id=number)
+
+
+class ZmqTransportTest(TestCase):
+    """Guards against messages that are lost, stuck or misjudged."""
+
+    def setUp(self):
+        super().setUp()
+        self.loop = Loop()
+        self.addCleanup(self.loop.close)
+        self.received = []
+        self.dropped = []
+        self.one, self.two = self.transport(), self.transport()
+        self.two.listen(Cancel, self.received.append)
+
+    def transport(self):
+        transport = ZmqTransport(
+            reactor=self.loop.reactor,
+            address="127.0.0.1:0",
+            on_dropped=self.dropped.append,
+        )
+        transport.start()
+        self.addCleanup(transport.stop)
+        return transport
+
+    def ids(self):
+        return [message.call_id for message in self.received]
+
+    def unused_address(self):
+        """Return an address at which nothing listens."""
+        holder = socket.socket()
+        self.addCleanup(holder.close)
+        holder.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{holder.getsockname()[1]}"
+
+    def raw_push(self):
+        """Return a socket that sends any bytes to transport two."""
+        context = zmq.Context()
+        push = context.socket(zmq.PUSH)
+        push.connect(f"tcp://{self.two.address}")
+        self.addCleanup(context.term)
+        self.addCleanup(push.close, linger=0)
+        return push
+
+    def test_port_0_is_replaced_by_the_bound_port(self):
+        host, port = self.one.address.split(":")
+        self.assertEqual("127.0.0.1", host)
+        self.assertNotEqual(0, int(port))
+
+    def test_first_messages_wait_for_the_connection(self):
+        for number in range(10):
+            self.one.send(self.two.address, cancel(number))
+        self.loop.until(lambda: len(self.received) == 10)
+        self.assertEqual(list(range(10)), self.ids())
+        self.assertEqual([], self.dropped)
+        self.assertEqual(0, self.two.malformed)
+
+    def test_a_burst_of_several_turns_arrives(self):
+        self.one.send(self.two.address, cancel(0))
+        self.loop.until(lambda: self.received)
+        count = 3 * MESSAGES_PER_TURN
+        for number in range(count):
+            self.one.send(self.two.address, cancel(number))
+        self.loop.until(lambda: len(self.received) == count + 1)
+        self.assertEqual(list(range(count)), self.ids()[1:])
+
+    def test_replies_within_a_handler(self):
+        def reply(message):
+            if message.call_id:
+                self.two.send(self.one.address, cancel(message.call_id - 1))
+
+        def back(message):
+            self.one.send(self.two.address, cancel(message.call_id))
+
+        self.two.listen(Cancel, lambda m: (self.received.append(m), reply(m)))
+        self.one.listen(Cancel, back)
+        self.one.send(self.two.address, cancel(50))
+        self.loop.until(lambda: len(self.received) == 51)
+
+    def test_a_large_message_arrives(self):
+        copies = []
+        self.two.listen(ManifestCopy, copies.append)
+        body = b"x" * 1_200_000
+        message = ManifestCopy(sender="n~1", version=1, body=body)
+        self.one.send(self.two.address, message)
+        self.loop.until(lambda: copies)
+        self.assertEqual(body, copies[0].body)
+
+    def test_a_message_above_the_limit_is_not_sent(self):
+        body = b"x" * 1_400_000
+        message = ManifestCopy(sender="n~1", version=1, body=body)
+        self.assertRaises(SendFailed, self.one.send, self.two.address, message)
+
+    def test_messages_to_nobody_are_dropped_and_then_fail(self):
+        address = self.unused_address()
+        self.one.send(address, cancel(1))
+        self.one.send(address, cancel(2))
+        self.loop.until(lambda: len(self.dropped) == 2)
+        self.assertEqual([cancel(1), cancel(2)], self.dropped)
+        self.assertEqual(2, self.one.dropped)
+        self.assertRaises(SendFailed, self.one.send, address, cancel(3))
+        self.assertEqual(0, self.one.sent_bytes)
+
+    def test_the_queue_of_a_new_peer_is_bounded(self):
+        address = self.unused_address()
+        for number in range(CONNECT_QUEUE_MESSAGES):
+            self.one.send(address, cancel(number))
+        self.assertRaises(SendFailed, self.one.send, address, cancel(0))
+
+    def test_a_peer_that_left_fails_sends(self):
+        self.one.send(self.two.address, cancel(1))
+        self.loop.until(lambda: self.received)
+        self.two.stop()
+
+        def failed():
+            try:
+                self.one.send(self.two.address, cancel(2))
+            except SendFailed:
+                return True
+            return False
+
+        self.loop.until(failed)
+
+    def test_a_peer_that_returns_is_reached_again(self):
+        self.one.send(self.two.address, cancel(1))
+        self.loop.until(lambda: self.received)
+        self.two.stop()
+        self.received.clear()
+        self.two.start()
+
+        def arrived():
+            try:
+                self.one.send(self.two.address, cancel(2))
+            except SendFailed:
+                self.loop.turn(1)
+            return self.received
+
+        self.loop.until(arrived)
+
+    def test_bad_addresses_and_stopped_transports_fail(self):
+        for address in ("", "nowhere", "127.0.0.1:x", "127.0.0.1:99999"):
+            self.assertRaises(SendFailed, self.one.send, address, cancel(1))
+        self.one.stop()
+        self.assertRaises(
+            SendFailed, self.one.send, self.two.address, cancel(1)
+        )
+        self.assertEqual({}, self.one.peers)
+
+    def test_malformed_messages_are_counted_and_dropped(self):
+        push = self.raw_push()
+        for data in (b"", b"\x01", b"\x02abc", b"\x01\x93\xa1x", b"\xff" * 9):
+            push.send(data)
+        push.send_multipart([encode(cancel(1)), encode(cancel(2))])
+        push.send(encode(cancel(3)))
+        self.loop.until(lambda: self.received)
+        self.assertEqual([3], self.ids())
+        self.assertEqual(6, self.two.malformed)
+
+    def test_an_oversized_frame_does_not_stop_the_reading(self):
+        self.raw_push().send(b"x" * 1_400_000)
+        self.loop.turn()
+        self.one.send(self.two.address, cancel(1))
+        self.loop.until(lambda: self.received)
+
+    def test_bytes_that_are_not_zeromq_do_not_stop_the_reading(self):
+        host, port = self.two.address.split(":")
+        with socket.create_connection((host, int(port))) as other:
+            other.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            self.loop.turn()
+            self.one.send(self.two.address, cancel(1))
+            self.loop.until(lambda: self.received)
+
+    def test_a_handler_that_raises_does_not_stop_the_reading(self):
+        def fail(message):
+            raise RuntimeError("fault")
+
+        self.two.listen(ManifestPull, fail)
+        pull = ManifestPull(sender="n~1", reply_to="a", version=1)
+        self.one.send(self.two.address, pull)
+        self.one.send(self.two.address, cancel(1))
+        self.loop.until(lambda: self.received)
+        self.assertEqual(1, self.two.handler_errors)
+
+    def test_a_handler_may_stop_the_transport(self):
+        self.two.listen(Cancel, lambda message: self.two.stop())
+        self.one.send(self.two.address, cancel(1))
+        self.one.send(self.two.address, cancel(2))
+        self.loop.until(lambda: self.two.context is None)
+
+    def test_accepted_messages_leave_before_the_stop(self):
+        self.one.send(self.two.address, cancel(0))
+        self.loop.until(lambda: self.received)
+        for number in range(1, 200):
+            self.one.send(self.two.address, cancel(number))
+        self.one.stop()
+        self.loop.until(lambda: len(self.received) == 200)
+
+    def test_idle_peers_are_closed_and_opened_again(self):
+        self.one.send(self.two.address, cancel(1))
+        self.loop.until(lambda: self.received)
+        self.one.peers[self.two.address].last_used -= IDLE_SECONDS
+        self.one.sweep_call.cancel()
+        self.one.sweep()
+        self.assertEqual({}, self.one.peers)
+        self.one.send(self.two.address, cancel(2))
+        self.loop.until(lambda: len(self.received) == 2)
