--- a/tests/loops.py
+++ b/tests/loops.py
@@ -2,7 +2,9 @@
 
 from time import monotonic
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.selectreactor import SelectReactor
+from twisted.python.failure import Failure
 
 LIMIT_SECONDS = 10.0
 
@@ -29,4 +31,4 @@
     def close(self):
         """Close what is left of the reactor's own descriptors."""
         for reader in self.reactor.removeAll():
-            reader.connectionLost(None)
+            reader.connectionLost(Failure(ConnectionDone()))
