--- a/tests/control_process.py
+++ b/tests/control_process.py
@@ -1,4 +1,10 @@
-"""A process with a control listener; prints its port when it listens."""
+"""A process with a control listener; prints its port when it listens.
+
+An argument is the port to listen on instead of a free one.
+"""
+
+import sys
+from dataclasses import asdict
 
 from twisted.internet import reactor
 
@@ -8,6 +14,32 @@
 from flamingosail.settings import Address
 
 
+class Calls(Service):
+    """Shows what the control listener passed on."""
+
+    name = "calls"
+
+    def __init__(self):
+        self.announced = []
+        self.drains = 0
+        self.load = None
+
+    def drain(self):
+        """Count a drain."""
+        self.drains += 1
+
+    def take_load(self, in_flight: int, queued: int):
+        """Keep the last load report."""
+        self.load = [in_flight, queued]
+
+    def dump(self) -> dict:
+        return {
+            "announced": [asdict(item) for item in self.announced],
+            "drains": self.drains,
+            "load": self.load,
+        }
+
+
 class Queue(Service):
     """A service with plain values and tables in its dump."""
 
@@ -26,15 +58,18 @@
 def main():
     """Listen until the process is ended."""
     kernel = Kernel()
+    calls = Calls()
+    port = int(sys.argv[1]) if len(sys.argv) > 1 else 0
     control = ControlListener(
         reactor=reactor,
-        address=Address("127.0.0.1", 0),
+        address=Address("127.0.0.1", port),
         kernel=kernel,
-        announce=lambda announcement: None,
-        drain=lambda: None,
-        load=lambda in_flight, queued: None,
+        announce=calls.announced.append,
+        drain=calls.drain,
+        load=calls.take_load,
     )
     kernel.add(control)
+    kernel.add(calls)
     kernel.add(Queue())
     kernel.start()
     print(control.port, flush=True)
