Do not wait for the first steps of a drain

A step that returned a Deferred which never fires would have kept the node draining for good, because only the flush had a time limit.

--- a/flamingosail/lifecycle.py
+++ b/flamingosail/lifecycle.py
@@ -122,29 +122,35 @@
     def run_drain(self):
         """Go through the steps of a shutdown; called by the machine."""
         self.log.notice("draining")
-        yield self._step("announce_draining")
-        yield self._step("close_callers")
+        self._step(self.announce_draining)
+        self._step(self.close_callers)
         yield deferLater(self.clock, GRACE_SECONDS)
-        yield self._step("refuse_callers")
+        self._step(self.refuse_callers)
         # Counted from here, so that a request accepted at the end of the
         # grace time keeps its whole timeout.
         self.deadline = self.clock.seconds() + self.stop_timeout_seconds
         yield self._wait_until_idle()
-        yield self._step("flush", max(self._left(), FLUSH_SECONDS))
+        yield self._write_answers()
         self.interrupted = self.in_flight()
         self.log.notice("stopped", extra={"interrupted": self.interrupted})
         self.machine.finished()
 
-    @inlineCallbacks
-    def _step(self, name: str, timeout: float | None = None):
+    def _step(self, step: Callable[[], None]):
         """Call one step; an error must not keep the node from leaving."""
         try:
-            done = maybeDeferred(getattr(self, name))
-            if timeout is not None:
-                done.addTimeout(timeout, self.clock)
-            yield done
+            step()
+        except Exception:
+            self.log.exception("step of the shutdown failed")
+
+    @inlineCallbacks
+    def _write_answers(self):
+        """Flush, for the time left and at least FLUSH_SECONDS."""
+        try:
+            written = maybeDeferred(self.flush)
+            written.addTimeout(max(self._left(), FLUSH_SECONDS), self.clock)
+            yield written
         except Exception:
-            self.log.exception("step {} failed", name)
+            self.log.exception("answers were not written")
 
     @inlineCallbacks
     def _wait_until_idle(self):
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -2,6 +2,7 @@
 
 from testtools import TestCase
 from twisted.internet.defer import Deferred
+from twisted.internet.defer import fail
 from twisted.internet.task import Clock
 
 from flamingosail.lifecycle import Lifecycle
@@ -122,6 +123,12 @@
         )
         self.assertEqual("stopped", lifecycle.state)
 
+    def test_a_failing_flush_does_not_prevent_the_stop(self):
+        lifecycle = self.build(flush=lambda: fail(OSError("closed")))
+        lifecycle.drain()
+        self.advance(1.1)
+        self.assertEqual("stopped", lifecycle.state)
+
     def test_a_second_drain_or_a_late_start_changes_nothing(self):
         self.lifecycle.drain()
         self.lifecycle.drain()
