State the time limits of the dump script

The docstring gave the limit for the head of the answer as the limit for the whole. The stand-in's description now names its example settings.

Measured: formatter and linter pass; only docstrings changed.

--- a/flamingosail/dumpcli.py
+++ b/flamingosail/dumpcli.py
@@ -74,7 +74,8 @@
 def fetch_dump(reactor, address: Address, service: str | None):
     """Return the dump of a node, or of one of its services, by name.
 
-    :raises NotReachable: if there was no usable answer within 5 s.
+    :raises NotReachable: if there was no usable answer within 10 s:
+        5 s for the head and 5 s for the body.
     :raises NoSuchService: if the node has no such service.
     """
     path = "/dump" if service is None else f"/dump/{quote(service, safe='')}"
--- a/standins/backendserver.py
+++ b/standins/backendserver.py
@@ -2,7 +2,8 @@
 
     python -m standins.backendserver --service histbook --slots 150
 
-Flags override the JSON file given with ``--settings``. It prints one JSON
+Flags override the JSON file given with ``--settings``;
+``docs/backendserver.json`` is an example. It prints one JSON
 line with its port when it listens, announces itself to its node until that
 works, and again whenever a load report fails or needed a new connection.
 
