--- /dev/null
+++ b/tests/control_process.py
@@ -0,0 +1,80 @@
+"""A process with a control listener; prints its port when it listens.
+
+An argument is the port to listen on instead of a free one.
+"""
+
+import sys
+from dataclasses import asdict
+
+from twisted.internet import reactor
+
+from flamingosail.control import ControlListener
+from flamingosail.kernel import Kernel
+from flamingosail.kernel import Service
+from flamingosail.settings import Address
+
+
+class Calls(Service):
+    """Shows what the control listener passed on."""
+
+    name = "calls"
+
+    def __init__(self):
+        self.announced = []
+        self.drains = 0
+        self.load = None
+
+    def drain(self):
+        """Count a drain."""
+        self.drains += 1
+
+    def take_load(self, in_flight: int, queued: int):
+        """Keep the last load report."""
+        self.load = [in_flight, queued]
+
+    def dump(self) -> dict:
+        return {
+            "announced": [asdict(item) for item in self.announced],
+            "drains": self.drains,
+            "load": self.load,
+        }
+
+
+class Queue(Service):
+    """A service with plain values and tables in its dump."""
+
+    name = "queue"
+
+    def dump(self) -> dict:
+        return {
+            "length": 2,
+            "note": "a\nb",
+            "empty": [],
+            "servers": [{"name": "s1", "weight": 0.5}, {"name": "server-2"}],
+            "kinds": {"gate-check": {"refused": 1}},
+        }
+
+
+def main():
+    """Listen until the process is ended."""
+    kernel = Kernel()
+    calls = Calls()
+    port = int(sys.argv[1]) if len(sys.argv) > 1 else 0
+    control = ControlListener(
+        reactor=reactor,
+        address=Address("127.0.0.1", port),
+        kernel=kernel,
+        announce=calls.announced.append,
+        drain=calls.drain,
+        load=calls.take_load,
+    )
+    kernel.add(control)
+    kernel.add(calls)
+    kernel.add(Queue())
+    kernel.start()
+    print(control.port, flush=True)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
