--- a/flamingosail/manifest.py
+++ b/flamingosail/manifest.py
@@ -9,6 +9,7 @@
                               "timeout_ms": 2000}}}
 """
 
+import json
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -119,7 +120,9 @@
     document = _decode(body, errors)
     services = _section(document, "services", SERVICE_FIELDS, errors)
     kinds = _section(document, "kinds", KIND_FIELDS, errors)
-    _check_references(services, kinds, errors)
+    if isinstance(document.get("services"), dict):
+        _check_references(services, kinds, errors)
+    _check_keys(kinds, errors)
     if errors:
         raise ExceptionGroup("invalid manifest", errors)
     return Manifest(
@@ -145,9 +148,14 @@
         return {"services": {}, "kinds": {}}
     try:
         document = decode(body)
-    except (DecodeError, UnicodeDecodeError) as error:
+        repeated = _repeated_keys(body)
+    except (DecodeError, UnicodeDecodeError, RecursionError) as error:
         errors.append(ManifestError("manifest", f"not valid JSON: {error}"))
         return {"services": {}, "kinds": {}}
+    errors.extend(
+        ManifestError("manifest", f"key {key!r} is repeated in one object")
+        for key in repeated
+    )
     if not isinstance(document, dict):
         errors.append(ManifestError("manifest", "must be an object"))
         return {"services": {}, "kinds": {}}
@@ -159,6 +167,25 @@
     return document
 
 
+def _repeated_keys(body: bytes) -> list[str]:
+    """Return the keys that occur twice in one object.
+
+    JSON decoders keep the last of them, which would silently drop a kind.
+    """
+    repeated = []
+
+    def check(pairs: list[tuple[str, object]]) -> dict:
+        members = {}
+        for key, value in pairs:
+            if key in members:
+                repeated.append(key)
+            members[key] = value
+        return members
+
+    json.loads(body, object_pairs_hook=check)
+    return repeated
+
+
 def _section(
     document: dict,
     section: str,
@@ -175,14 +202,18 @@
         if not name or len(name) > MAX_NAME_LENGTH or not name.isprintable():
             errors.append(
                 ManifestError(
-                    place, f"name must have 1 to {MAX_NAME_LENGTH} characters"
+                    place,
+                    f"name must have 1 to {MAX_NAME_LENGTH} printable "
+                    "characters",
                 )
             )
-        if not isinstance(members, dict):
+        # An entry of the wrong type still counts as listed, so that one
+        # mistake is not reported again for each kind that refers to it.
+        checked[name] = members if isinstance(members, dict) else {}
+        if isinstance(members, dict):
+            _check_members(place, members, fields, errors)
+        else:
             errors.append(ManifestError(place, "must be an object"))
-            continue
-        _check_members(place, members, fields, errors)
-        checked[name] = members
     return checked
 
 
@@ -230,6 +261,10 @@
                     f"service {service!r} is not in the manifest",
                 )
             )
+
+
+def _check_keys(kinds: dict[str, dict], errors: list[ManifestError]):
+    for name, members in kinds.items():
         key_required = members.get("key_required", True)
         if members.get("idempotent") is False and key_required is False:
             errors.append(
