--- /dev/null
+++ b/flamingosail/publisher.py
@@ -0,0 +1,223 @@
+"""Publishes manifests and finds out what became of them."""
+
+import json
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+
+from flamingosail.errors import LogUnavailable
+from flamingosail.logservice import LogService
+from flamingosail.manifest import Manifest
+from flamingosail.manifesthistory import encode_record
+from flamingosail.manifesthistory import ManifestHistory
+from flamingosail.manifesthistory import NO_VERSION
+from flamingosail.manifesthistory import OutcomeState
+from flamingosail.manifesthistory import Publication
+from flamingosail.manifestservice import MANIFEST_STREAM
+from flamingosail.manifestservice import PAGE_RECORDS
+
+__all__ = ["Publisher", "Report", "ReportState"]
+
+POLL_SECONDS = 0.25
+PUBLICATION_ID_BITS = 128
+
+
+class ReportState(StrEnum):
+    """What the publisher can say of a manifest."""
+
+    OK = "ok"
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """The result of one command.
+
+    ``version`` is the accepted version, or the manifest's for ``show``.
+    """
+
+    state: ReportState
+    reason: str = ""
+    publication_id: str | None = None
+    version: int | None = None
+    manifest: object = None
+
+
+class Publisher:
+    """Publishes to the log and reads until the outcome is known.
+
+    ``patience`` is how many seconds it goes on reading. ``pending`` is the
+    id of a publication that was sent and has no known outcome.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: IReactorTime,
+        random: Random,
+        log: LogService,
+        patience: float,
+    ):
+        self.clock = clock
+        self.random = random
+        self.log = log
+        self.patience = patience
+        self.pending: str | None = None
+        self.history = ManifestHistory()
+
+    @inlineCallbacks
+    def show(self) -> Deferred[Report]:
+        """Report the manifest accepted in the log."""
+        reason = yield self._read_to_known_end()
+        if reason:
+            return Report(state=ReportState.UNKNOWN, reason=reason)
+        if self.history.accepted == NO_VERSION:
+            return Report(
+                state=ReportState.OK, reason="no manifest was published yet"
+            )
+        return Report(
+            state=ReportState.OK,
+            version=self.history.accepted,
+            manifest=json.loads(self.history.accepted_body),
+        )
+
+    @inlineCallbacks
+    def resolve(self, publication_id: str) -> Deferred[Report]:
+        """Report what became of an earlier publication."""
+        reason = yield self._read_to_known_end()
+        if not reason:
+            reason = (
+                "not in the log: it may have been trimmed, may still be "
+                "under way, or was never sent"
+            )
+        return self._report(publication_id) or Report(
+            state=ReportState.UNKNOWN,
+            reason=reason,
+            publication_id=publication_id,
+        )
+
+    @inlineCallbacks
+    def publish(self, manifest: Manifest) -> Deferred[Report]:
+        """Publish on top of the manifest accepted now and report."""
+        reason = yield self._read_to_known_end()
+        if reason:
+            return Report(
+                state=ReportState.UNKNOWN,
+                reason=f"{reason}; nothing was sent to the log",
+            )
+        publication_id = f"{self.random.getrandbits(PUBLICATION_ID_BITS):032x}"
+        record = Publication(
+            publication_id=publication_id,
+            base=self.history.accepted,
+            body=manifest.body,
+        )
+        self.pending = publication_id
+        reason = yield self._append(encode_record(record))
+        report = yield self._settle(record, reason)
+        if report.state is not ReportState.UNKNOWN:
+            self.pending = None
+        return report
+
+    @inlineCallbacks
+    def _append(self, data: bytes):
+        try:
+            yield self.log.append(stream=MANIFEST_STREAM, data=data)
+        except LogUnavailable as error:
+            return f"the append was not confirmed ({error})"
+        return "the append was confirmed"
+
+    @inlineCallbacks
+    def _settle(self, record: Publication, reason: str):
+        """Read until the record is judged or patience ends.
+
+        A record that was not seen may still take effect, unless its base
+        has been superseded: accepted versions only rise, so it would be
+        refused.
+        """
+        deadline = self.clock.seconds() + self.patience
+        gaps = self.history.gaps
+        while True:
+            problem = yield self._read_once()
+            report = self._report(record.publication_id)
+            if report is None:
+                report = self._superseded(record, problem, gaps)
+            if report is not None:
+                return report
+            if self.clock.seconds() >= deadline:
+                return Report(
+                    state=ReportState.UNKNOWN,
+                    reason=f"{reason}; {problem or 'not seen in the log'}",
+                    publication_id=record.publication_id,
+                )
+            yield deferLater(self.clock, POLL_SECONDS)
+
+    def _superseded(self, record: Publication, problem: str, gaps: int):
+        accepted = self.history.accepted
+        # A gap since the append may have hidden the record itself.
+        unread = self.history.gaps > gaps
+        if problem or unread or accepted is None:
+            return None
+        if accepted <= record.base:
+            return None
+        return Report(
+            state=ReportState.REFUSED,
+            reason=(
+                f"base {record.base} is superseded by version {accepted}; "
+                "the record has not reached the log"
+            ),
+            publication_id=record.publication_id,
+        )
+
+    def _report(self, publication_id: str) -> Report | None:
+        outcome = self.history.outcome(publication_id)
+        if outcome.state is OutcomeState.NOT_SEEN:
+            return None
+        return Report(
+            state=ReportState(outcome.state.value),
+            reason=outcome.reason,
+            publication_id=publication_id,
+            version=outcome.version,
+        )
+
+    @inlineCallbacks
+    def _read_to_known_end(self):
+        """Read to the end; return why that was not possible, or ''."""
+        deadline = self.clock.seconds() + self.patience
+        while True:
+            problem = yield self._read_once()
+            if not problem and self.history.accepted is None:
+                problem = (
+                    "the log is trimmed and holds no usable copy of the "
+                    "accepted manifest"
+                )
+            if not problem or self.clock.seconds() >= deadline:
+                return problem
+            yield deferLater(self.clock, POLL_SECONDS)
+
+    @inlineCallbacks
+    def _read_once(self):
+        """Read to the end of the log; return a reason or ''."""
+        while True:
+            try:
+                page = yield self.log.read(
+                    stream=MANIFEST_STREAM,
+                    offset=self.history.next_offset,
+                    limit=PAGE_RECORDS,
+                )
+            except LogUnavailable as error:
+                return f"the log cannot be read ({error})"
+            progress = self.history.apply(page)
+            if self.history.next_offset == page.end:
+                return ""
+            if not progress:
+                return (
+                    f"the log ends at {page.end} but gave no records from "
+                    f"{self.history.next_offset} on"
+                )
