--- a/flamingosail/messages.py
+++ b/flamingosail/messages.py
@@ -109,6 +109,8 @@
     """What a node says of itself; higher versions replace lower ones.
 
     ``state`` is starting, ready, draining, left or, set by others, removed.
+    ``replaces`` is the nonce of the earlier incarnation of the same node
+    that this one has outbid, if any.
     """
 
     node: str
@@ -119,6 +121,7 @@
     region: str
     service: str
     state: str
+    replaces: str = ""
 
 
 class RetryRequest(Message, frozen=True, array_like=True, tag="retry"):
@@ -145,9 +148,9 @@
 class Digest(Message, frozen=True, array_like=True, tag="digest"):
     """Versions of all member records of the sender.
 
-    Each entry is node name, incarnation and version. The receiver answers
-    with the records that are newer at its side and, if ``reply`` is set,
-    with its own digest.
+    Each entry is node name, nonce and version of a member that is not gone.
+    The receiver answers with the records that are newer at its side and, if
+    ``reply`` is set, with its own digest.
     """
 
     reply_to: str
