Run a node as a process

The daemon puts the core, the sockets, the lifecycle and the metrics into one kernel. A driver starts the log service, nodes and stand-in servers of a deployment.

--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers that run real processes with stand-ins, and measurements."""
--- /dev/null
+++ b/experiments/processes.py
@@ -0,0 +1,295 @@
+"""Starts and stops the processes of a deployment on loopback."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from dataclasses import dataclass
+from pathlib import Path
+
+from experiments.deployments import Deployment
+from experiments.deployments import ServiceShape
+
+__all__ = ["NodeProcess", "Platform"]
+
+START_TIMEOUT_SECONDS = 30.0
+STOP_TIMEOUT_SECONDS = 15.0
+ROOT = Path(__file__).parent.parent
+
+NODE_SETTINGS = """\
+[node]
+name = {name}
+failure_domain = {failure_domain}
+region = {region}
+stop_timeout_seconds = 10
+[listen]
+peers = 127.0.0.1:{ports[0]}
+callers = 127.0.0.1:{ports[1]}
+backend = 127.0.0.1:{ports[2]}
+control = 127.0.0.1:{ports[3]}
+[peers]
+seeds = {seeds}
+[log]
+url = http://127.0.0.1:{log_port}
+retention_seconds = {retention}
+[logging]
+level = {level}
+"""
+
+
+@dataclass(slots=True)
+class NodeProcess:
+    """A node, its backend server and their ports."""
+
+    name: str
+    service: str
+    failure_domain: str
+    peers_port: int
+    callers_port: int
+    control_port: int
+    node: subprocess.Popen
+    server: subprocess.Popen
+    server_port: int
+
+    def dump(self, service: str) -> dict:
+        """Return the dump of one service of the node."""
+        return get_json(self.control_port, f"/dump/{service}")
+
+
+class Platform:
+    """The processes of one deployment, with the stand-in log service.
+
+    ``module`` is the module of the node process. Use as a context manager;
+    on leaving, every process that was started is ended.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        *,
+        module: str = "flamingosail.nodecli",
+        retention_seconds: float = 3600.0,
+        level: str = "warning",
+    ):
+        self.deployment = deployment
+        self.module = module
+        self.retention_seconds = retention_seconds
+        self.level = level
+        self.directory = tempfile.TemporaryDirectory(prefix="flamingosail-")
+        self.processes: list[subprocess.Popen] = []
+        self.nodes: dict[str, NodeProcess] = {}
+        self.log: subprocess.Popen | None = None
+        self.log_port = 0
+
+    def __enter__(self) -> "Platform":
+        return self
+
+    def __exit__(self, *exc_info):
+        self.stop()
+
+    def start(self):
+        """Start the log service and all nodes with their servers."""
+        self.log, self.log_port = self.start_listening(
+            "standins.logserver",
+            "--port",
+            "0",
+            "--retention",
+            str(self.retention_seconds),
+        )
+        domains = self.deployment.failure_domains
+        places = [
+            (shape, index)
+            for shape in self.deployment.services
+            for index in range(shape.servers)
+        ]
+        ports = free_ports(4 * len(places))
+        seeds = [ports[4 * i] for i in range(min(3, len(places)))]
+        for number, (shape, index) in enumerate(places):
+            self.start_pair(
+                shape,
+                name=f"{shape.name}-{index}",
+                failure_domain=domains[index % len(domains)],
+                ports=ports[4 * number : 4 * number + 4],
+                seeds=seeds,
+            )
+        self.wait_until(self.all_ready, "not all nodes became ready")
+
+    def start_pair(
+        self,
+        shape: ServiceShape,
+        *,
+        name: str,
+        failure_domain: str,
+        ports: list[int],
+        seeds: list[int],
+    ) -> NodeProcess:
+        """Start one node and its backend server."""
+        settings = Path(self.directory.name, f"{name}.ini")
+        settings.write_text(
+            NODE_SETTINGS.format(
+                name=name,
+                failure_domain=failure_domain,
+                region=self.deployment.region,
+                ports=ports,
+                seeds=", ".join(f"127.0.0.1:{port}" for port in seeds),
+                log_port=self.log_port,
+                retention=self.retention_seconds,
+                level=self.level,
+            )
+        )
+        node = self.spawn(self.module, str(settings))
+        workload = Path(self.directory.name, f"{name}.json")
+        workload.write_text(
+            json.dumps(
+                {
+                    "service": shape.name,
+                    "slots": shape.slots,
+                    "connections": shape.connections,
+                    "service_ms": shape.service_ms,
+                    "control": f"127.0.0.1:{ports[3]}",
+                    "egress": f"127.0.0.1:{ports[2]}",
+                    "kinds": shape.kinds,
+                }
+            )
+        )
+        server, server_port = self.start_listening(
+            "standins.backendserver", "--settings", str(workload)
+        )
+        process = NodeProcess(
+            name=name,
+            service=shape.name,
+            failure_domain=failure_domain,
+            peers_port=ports[0],
+            callers_port=ports[1],
+            control_port=ports[3],
+            node=node,
+            server=server,
+            server_port=server_port,
+        )
+        self.nodes[name] = process
+        return process
+
+    def spawn(self, module: str, *arguments: str, **options):
+        """Start a process and remember it."""
+        process = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments], cwd=ROOT, **options
+        )
+        self.processes.append(process)
+        return process
+
+    def start_listening(self, module: str, *arguments: str):
+        """Start a stand-in and return it with the port that it prints."""
+        process = self.spawn(
+            module, *arguments, stdout=subprocess.PIPE, text=True
+        )
+        return process, json.loads(process.stdout.readline())["port"]
+
+    def all_ready(self) -> bool:
+        """Return whether every node knows every server as ready."""
+        return all(
+            node.dump("members").get("states", {}).get("ready")
+            == len(self.nodes)
+            for node in self.nodes.values()
+        )
+
+    def publish(self, document: dict) -> dict:
+        """Publish a manifest with the console script; return its report."""
+        path = Path(self.directory.name, "manifest.json")
+        path.write_text(json.dumps(document))
+        result = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "flamingosail.publishcli",
+                "--log",
+                f"http://127.0.0.1:{self.log_port}",
+                "--json",
+                "publish",
+                str(path),
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=START_TIMEOUT_SECONDS,
+        )
+        return json.loads(result.stdout)
+
+    def wait_for_manifest(self, version: int) -> float:
+        """Wait until a version is in force everywhere; return seconds."""
+        start = time.monotonic()
+        self.wait_until(
+            lambda: all(
+                node.dump("manifest")["version"] >= version
+                for node in self.nodes.values()
+            ),
+            f"manifest {version} is not in force everywhere",
+        )
+        return time.monotonic() - start
+
+    def wait_until(self, condition, complaint: str):
+        """Poll a condition.
+
+        :raises TimeoutError: with the complaint, after 30 s.
+        """
+        deadline = time.monotonic() + START_TIMEOUT_SECONDS
+        while time.monotonic() < deadline:
+            try:
+                if condition():
+                    return
+            except (OSError, ValueError):
+                pass  # A process that is not listening yet.
+            time.sleep(0.05)
+        raise TimeoutError(complaint)
+
+    def stop(self):
+        """End all processes that were started."""
+        for process in reversed(self.processes):
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        deadline = time.monotonic() + STOP_TIMEOUT_SECONDS
+        for process in self.processes:
+            try:
+                process.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+            if process.stdout is not None:
+                process.stdout.close()
+        self.directory.cleanup()
+
+
+def free_ports(number: int) -> list[int]:
+    """Return ports that nothing listens on at the moment."""
+    sockets = []
+    for _ in range(number):
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        sockets.append(sock)
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def get_json(port: int, path: str) -> dict:
+    """Return the JSON object at a path of a loopback server."""
+    url = f"http://127.0.0.1:{port}{path}"
+    with urllib.request.urlopen(url, timeout=5) as response:
+        return json.load(response)
+
+
+def post_json(port: int, path: str, value: dict):
+    """Send a JSON object to a path of a loopback server."""
+    request = urllib.request.Request(
+        f"http://127.0.0.1:{port}{path}",
+        data=json.dumps(value).encode(),
+        headers={"Content-Type": "application/json"},
+        method="POST",
+    )
+    with urllib.request.urlopen(request, timeout=5):
+        pass
--- a/flamingosail/exchange.py
+++ b/flamingosail/exchange.py
@@ -10,6 +10,7 @@
 from flamingosail.errors import RefusalCode
 from flamingosail.kernel import Service
 from flamingosail.messages import CallAnswer
+from flamingosail.messages import MemberRecord
 from flamingosail.priority import PRIORITY_RANGE
 from flamingosail.request import Answer
 from flamingosail.request import refuse
@@ -18,6 +19,8 @@
 
 __all__ = ["Exchange", "answer_message"]
 
+GONE_STATES = frozenset(("left", "removed"))
+
 
 class Exchange(Service):
     """Holds the calls that wait for an answer from another node.
@@ -56,12 +59,19 @@
         """Stop waiting for an answer."""
         self.open_calls.pop(call_id, None)
 
-    def fail_all(self, callee: str):
-        """End all calls to an incarnation that has been removed."""
+    def on_members_changed(self, changed: tuple[MemberRecord, ...]):
+        """End the calls to nodes that are gone or were restarted."""
+        for record in changed:
+            gone = record.state in GONE_STATES
+            self.fail_lost(record, "" if gone else record.incarnation)
+
+    def fail_lost(self, record: MemberRecord, current: str):
+        """End the calls to incarnations of a node, but for the current."""
+        prefix = f"{record.node}~"
         lost = [
             call_id
-            for call_id, (name, _) in self.open_calls.items()
-            if name == callee
+            for call_id, (callee, _) in self.open_calls.items()
+            if callee.startswith(prefix) and callee != current
         ]
         for call_id in lost:
             _, on_answer = self.open_calls.pop(call_id, (None, None))
--- a/flamingosail/metrics.py
+++ b/flamingosail/metrics.py
@@ -4,6 +4,7 @@
 happen in the batch. ``METRICS`` describes every name.
 """
 
+from collections.abc import Callable
 from random import Random
 
 from logbook import Logger
@@ -107,6 +108,7 @@
         self.log = Logger("metrics")
         self.counts = dict.fromkeys(METRICS, 0)
         self.sent = dict(self.counts)
+        self.sources: dict[str, Callable[[], int]] = {}
         self.until_sample = dict.fromkeys(METRICS, 1)
         self.samples: dict[str, list[float]] = {name: [] for name in METRICS}
         self.loop = LoopingCall(self.flush)
@@ -116,6 +118,10 @@
         """Add to a counter."""
         self.counts[name] += amount
 
+    def follow(self, name: str, read: Callable[[], int]):
+        """Take the total of a counter that a service keeps itself."""
+        self.sources[name] = read
+
     def timing(self, name: str, seconds: float):
         """Count a timing and keep about one in 16 of them."""
         self.counts[name] += 1
@@ -157,7 +163,12 @@
             # A LoopingCall would end; metrics must not stop for good.
             self.log.exception("metrics not sent")
 
+    def _read_sources(self):
+        for name, read in self.sources.items():
+            self.counts[name] = read()
+
     def _add_counts(self, batch):
+        self._read_sources()
         for name, total in self.counts.items():
             if total != self.sent[name]:
                 batch.incr(f"{name}.count", total - self.sent[name])
@@ -171,4 +182,5 @@
 
     def dump(self) -> dict:
         """Return the totals since the start by name."""
+        self._read_sources()
         return {"sending": self.client is not None, "totals": self.counts}
--- a/flamingosail/node.py
+++ b/flamingosail/node.py
@@ -1,20 +1,29 @@
 """Puts the services of a node into a kernel."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
 from twisted.internet.interfaces import IReactorTime
+from xxhash import xxh64_intdigest
 
 from flamingosail.admission import AdmissionControl
 from flamingosail.admission import TARGET_DELAY_SECONDS
+from flamingosail.backend import Announcement
 from flamingosail.backend import Backend
 from flamingosail.egress import Egress
 from flamingosail.entrance import Entrance
 from flamingosail.exchange import Exchange
+from flamingosail.gossip import Gossip
+from flamingosail.identity import Incarnation
 from flamingosail.ingress import Ingress
 from flamingosail.kernel import Kernel
 from flamingosail.keys import KeyTable
 from flamingosail.limit import ConcurrencyLimit
+from flamingosail.logservice import LogService
+from flamingosail.manifestservice import ManifestService
+from flamingosail.membership import MemberTable
+from flamingosail.messages import MemberRecord
 from flamingosail.pressure import PressureMap
 from flamingosail.replay import ReplayWindow
 from flamingosail.retrypool import RetryPool
@@ -22,7 +31,9 @@
 from flamingosail.routing import Router
 from flamingosail.transport import Transport
 
-__all__ = ["NodePlace", "add_call_path"]
+__all__ = ["Node", "NodePlace", "add_call_path", "build_node"]
+
+LOG_READERS_PER_FAILURE_DOMAIN = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +84,7 @@
     retries = kernel.add(
         RetryPool(clock=clock, transport=transport, incarnation=incarnation)
     )
+    members.listeners.append(exchange.on_members_changed)
     keys = kernel.add(
         KeyTable(
             clock=clock,
@@ -122,3 +134,150 @@
             ingress=ingress,
         )
     )
+
+
+@dataclass(frozen=True, slots=True)
+class Node:
+    """A node without its sockets, as it is embedded."""
+
+    kernel: Kernel
+    place: NodePlace
+    transport: Transport
+    members: MemberTable
+    gossip: Gossip
+    manifest: ManifestService
+    entrance: Entrance
+    ingress: Ingress
+
+    @property
+    def in_flight(self) -> int:
+        """Requests and calls that have not ended."""
+        egress = self.kernel.get("egress")
+        return egress.in_flight + self.ingress.in_flight
+
+    def announce(self, announcement: Announcement):
+        """Take calls for a backend server; a repetition changes nothing."""
+        self.ingress.draining = False
+        self.ingress.closed = False
+        if announcement != self.ingress.announcement:
+            self.ingress.announce(announcement)
+        own = self.members.own
+        if own.state != "ready" or own.service != announcement.service:
+            self.members.change_own(
+                service=announcement.service, state="ready"
+            )
+
+    def drain(self):
+        """Tell all nodes that the backend server takes no new calls."""
+        self.ingress.draining = True
+        if self.members.own.state != "draining":
+            self.members.change_own(state="draining")
+
+    def close(self):
+        """Refuse new requests and calls; those under way go on."""
+        self.entrance.closed = True
+        self.ingress.closed = True
+
+
+def build_node(
+    *,
+    clock: IReactorTime,
+    random: Random,
+    transport: Transport,
+    place: NodePlace,
+    backend: Backend,
+    log: LogService,
+    seeds: tuple[str, ...] = (),
+    retention: float,
+    add_path: Callable = add_call_path,
+    **tuning,
+) -> Node:
+    """Return a node; ``kernel.start()`` starts it.
+
+    ``retention`` is the retention time of the log in seconds, ``tuning``
+    goes to add_call_path.
+    """
+    kernel = Kernel()
+    kernel.add(transport)
+    members = kernel.add(
+        MemberTable(own=first_record(place, transport.address), clock=clock)
+    )
+    gossip = kernel.add(
+        Gossip(
+            table=members,
+            transport=transport,
+            clock=clock,
+            random=random,
+            log=log,
+            seeds=seeds,
+        )
+    )
+    manifest = kernel.add(
+        ManifestService(
+            clock=clock,
+            random=random,
+            log=log,
+            transport=transport,
+            incarnation=place.incarnation,
+            neighbours=lambda: [m.address for m in gossip.neighbours()],
+            is_reader=lambda: reads_log(members),
+            retention=retention,
+        )
+    )
+    gossip.manifest_version = lambda: manifest.version
+    gossip.peer_has = manifest.peer_has
+    entrance = add_path(
+        kernel,
+        clock=clock,
+        random=random,
+        transport=transport,
+        place=place,
+        backend=backend,
+        members=members,
+        manifest=manifest,
+        **tuning,
+    )
+    return Node(
+        kernel=kernel,
+        place=place,
+        transport=transport,
+        members=members,
+        gossip=gossip,
+        manifest=manifest,
+        entrance=entrance,
+        ingress=kernel.get("ingress"),
+    )
+
+
+def first_record(place: NodePlace, address: str) -> MemberRecord:
+    """Return the member record of a node that starts."""
+    return MemberRecord(
+        node=Incarnation.parse(place.incarnation).node,
+        incarnation=place.incarnation,
+        version=1,
+        address=address,
+        failure_domain=place.failure_domain,
+        region=place.region,
+        service="",
+        state="starting",
+    )
+
+
+def reads_log(members: MemberTable) -> bool:
+    """Return whether this node polls the log for its failure domain.
+
+    While member tables differ more nodes may do so, which is harmless.
+    """
+    own = members.own
+    peers = [
+        record.node
+        for record in members.live()
+        if record.failure_domain == own.failure_domain
+    ]
+    readers = sorted(peers, key=xxh64_of)[:LOG_READERS_PER_FAILURE_DOMAIN]
+    return own.node in readers
+
+
+def xxh64_of(name: str) -> int:
+    """Return the hash that orders nodes for roles."""
+    return xxh64_intdigest(name.encode())
--- a/flamingosail/routing.py
+++ b/flamingosail/routing.py
@@ -220,7 +220,7 @@
         """Send nothing more to a server that said it is draining."""
         self.draining.add(incarnation)
 
-    def on_members_changed(self):
+    def on_members_changed(self, changed: tuple[MemberRecord, ...]):
         """Forget the statistics of servers that are gone."""
         gone = [
             incarnation
--- a/flamingosail/zmqtransport.py
+++ b/flamingosail/zmqtransport.py
@@ -230,10 +230,12 @@
         self.handler_errors = 0
 
     def start(self):
-        """Bind the socket and begin to receive.
+        """Bind the socket and begin to receive, unless that is done.
 
         :raises zmq.ZMQError: if the address cannot be bound.
         """
+        if self.context is not None:
+            return
         self.context = zmq.Context()
         socket = self.open_socket(zmq.PULL)
         try:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -11,6 +11,7 @@
 from dataclasses import field
 from random import Random
 
+from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
@@ -306,11 +307,9 @@
 
     def remove(self, name: str):
         """Take a node out of the member table."""
-        record = self.members.records.pop(name)
-        for node in self.nodes.values():
-            node.exchange.fail_all(record.incarnation)
+        record = replace(self.members.records.pop(name), state="removed")
         for listener in self.members.listeners:
-            listener()
+            listener((record,))
 
     def advance(self, seconds: float, step: float = 0.001):
         """Let time pass."""
