Report the counters of the services as metrics

Cause: the metric names existed, but nothing reported them. The metrics service now reads the counters that services keep for their dumps once a second, so that the path of a call does no extra work; only the time of a root is recorded per request. Names without a counter are removed.

--- a/flamingosail/callerhttp.py
+++ b/flamingosail/callerhttp.py
@@ -5,6 +5,7 @@
 that the backend server makes while it serves a request.
 """
 
+from collections.abc import Callable
 from functools import partial
 from typing import Protocol as Interface
 
@@ -84,7 +85,8 @@
 class HttpListener(Factory):
     """Base of the listeners: a twisted factory of server connections.
 
-    ``draining`` is set by ``drain``.
+    ``draining`` is set by ``drain``. ``on_finished`` is called with the
+    seconds that each request took.
     """
 
     noisy = False
@@ -102,6 +104,9 @@
         self.draining = False
         self.connections: set[HttpServerProtocol] = set()
         self.waiting: dict[HttpServerProtocol, Deferred] = {}
+        self.on_finished: Callable[[float], None] = lambda seconds: None
+        self.answered = 0
+        self.refused = 0
 
     @property
     def busy(self) -> int:
@@ -174,7 +179,8 @@
             return
         self.waiting[connection] = deferred
         deferred.addCallbacks(
-            partial(self.finish, connection), partial(self.fail, connection)
+            partial(self.finish, connection, self.clock.seconds()),
+            partial(self.fail, connection),
         )
         deferred.addErrback(self.log_failure)
 
@@ -238,10 +244,15 @@
         )
         return request, control.get(b"flamingosail-context")
 
-    def finish(self, connection, answer: Answer):
+    def finish(self, connection, started: float, answer: Answer):
         """Write the answer of the entrance."""
         self.waiting.pop(connection, None)
+        if answer.refusal is None:
+            self.answered += 1
+        else:
+            self.refused += 1
         self.answer(connection, answer)
+        self.on_finished(self.clock.seconds() - started)
 
     def fail(self, connection, failure):
         """End a request whose Deferred failed."""
--- a/flamingosail/daemon.py
+++ b/flamingosail/daemon.py
@@ -13,6 +13,7 @@
 from flamingosail.callerhttp import HttpListener
 from flamingosail.control import ControlListener
 from flamingosail.identity import new_incarnation
+from flamingosail.ingress import Ingress
 from flamingosail.kernel import Service
 from flamingosail.lifecycle import Lifecycle
 from flamingosail.loghttp import HttpLogService
@@ -22,6 +23,7 @@
 from flamingosail.node import build_node
 from flamingosail.node import Node
 from flamingosail.node import NodePlace
+from flamingosail.nodemetrics import follow_node
 from flamingosail.routing import Distances
 from flamingosail.settings import Address
 from flamingosail.settings import Settings
@@ -166,13 +168,15 @@
                 load=self.note_load,
             )
         )
-        kernel.add(
+        metrics = kernel.add(
             Metrics(
                 clock=self.reactor,
                 random=self.random,
                 client=open_client(self.settings.metrics),
             )
         )
+        if isinstance(node.ingress, Ingress):
+            follow_node(metrics, node, self.callers)
 
     def in_flight(self) -> int:
         """Return the requests and calls that must end before the stop."""
--- a/flamingosail/metrics.py
+++ b/flamingosail/metrics.py
@@ -20,51 +20,37 @@
 ROOTS_ENTERED = "roots.entered"
 ROOTS_ANSWERED = "roots.answered"
 ROOTS_REFUSED = "roots.refused"
-ROOTS_REFUSED_EARLY = "roots.refused_early"
+CALLS_REFUSED_EARLY = "calls.refused_early"
 CALLS_SENT = "calls.sent"
 CALLS_RETRIED = "calls.retried"
 CALLS_SERVED = "calls.served"
 CALLS_REFUSED = "calls.refused"
 CALLS_EXPIRED = "calls.expired"
-CALLS_CANCELLED = "calls.cancelled"
 CALLS_DUPLICATE = "calls.duplicate"
 ANSWERS_LATE = "answers.late"
 ANSWERS_BAD = "answers.bad"
 SENDS_FAILED = "sends.failed"
 KEYS_ISSUED = "keys.issued"
-KEYS_REPEATED = "keys.repeated"
-MANIFESTS_ADOPTED = "manifests.adopted"
-MEMBERS_REMOVED = "members.removed"
-SERVERS_EJECTED = "servers.ejected"
+MEMBERS_SUSPECTED = "members.suspected"
 ROOT_TIME = "roots.time"
-CALL_TIME = "calls.time"
-QUEUE_DELAY = "calls.queue_delay"
-BACKEND_TIME = "backend.time"
 
 METRICS = {
     ROOTS_ENTERED: "requests of callers that entered at this node",
-    ROOTS_ANSWERED: "requests of callers answered by a backend server",
-    ROOTS_REFUSED: "requests of callers ended by a refusal",
-    ROOTS_REFUSED_EARLY: "of these, refused because of learned pressure",
+    ROOTS_ANSWERED: "of these, answered by a backend server",
+    ROOTS_REFUSED: "of these, ended by a refusal",
+    CALLS_REFUSED_EARLY: "calls refused unsent, because of learned pressure",
     CALLS_SENT: "attempts sent to a server's node",
     CALLS_RETRIED: "of these, attempts beyond the first of a call",
     CALLS_SERVED: "calls answered by this node's backend server",
     CALLS_REFUSED: "calls refused at this node before dispatch",
     CALLS_EXPIRED: "calls dropped from the queue after their deadline",
-    CALLS_CANCELLED: "calls ended because nobody waits for them",
     CALLS_DUPLICATE: "calls dropped because their id was seen before",
     ANSWERS_LATE: "answers dropped because their call was closed",
     ANSWERS_BAD: "answers dropped because of a wrong digest or form",
     SENDS_FAILED: "messages that the transport did not accept",
     KEYS_ISSUED: "idempotency keys issued",
-    KEYS_REPEATED: "requests that joined or repeated an earlier run",
-    MANIFESTS_ADOPTED: "manifests put in force",
-    MEMBERS_REMOVED: "members removed after a failed probe",
-    SERVERS_EJECTED: "servers left out after failures",
+    MEMBERS_SUSPECTED: "members that this node suspected first",
     ROOT_TIME: "ms from the arrival of a caller's request to its answer",
-    CALL_TIME: "ms from the first attempt of a call to its end",
-    QUEUE_DELAY: "ms a call waited in this node's queue",
-    BACKEND_TIME: "ms the backend server took for a call",
 }
 
 SEND_INTERVAL_SECONDS = 1.0
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -63,15 +63,15 @@
     def test_samples_timings_and_counts_all(self):
         built = self.build()
         for _ in range(800):
-            built.timing(metrics.CALL_TIME, 0.001)
-        self.assertEqual(800, built.dump()["totals"][metrics.CALL_TIME])
-        kept = len(built.samples[metrics.CALL_TIME])
+            built.timing(metrics.ROOT_TIME, 0.001)
+        self.assertEqual(800, built.dump()["totals"][metrics.ROOT_TIME])
+        kept = len(built.samples[metrics.ROOT_TIME])
         self.assertTrue(25 <= kept <= metrics.MAX_SAMPLES_PER_INTERVAL, kept)
         for _ in range(100_000):
-            built.timing(metrics.CALL_TIME, 0.001)
+            built.timing(metrics.ROOT_TIME, 0.001)
         self.assertEqual(
             metrics.MAX_SAMPLES_PER_INTERVAL,
-            len(built.samples[metrics.CALL_TIME]),
+            len(built.samples[metrics.ROOT_TIME]),
         )
 
     def test_counts_without_a_server(self):
