Compare tables only after changes have settled

A digest was sent while a change was still spreading, whenever the last digest was 20 s old: hashes of peers were compared however old they were. Only hashes heard 0.5 s after the last change count now, and a node that has just joined compares each second instead of each 5 s.

--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Demo and measurement drivers."""
--- a/flamingosail/gossip.py
+++ b/flamingosail/gossip.py
@@ -34,10 +34,16 @@
 PAUSE_S = 1.0
 ANTI_ENTROPY_S = 5.0
 
-# Tables differ while a change spreads; that is no reason for a digest,
-# unless changes never end.
+# Tables differ while a change spreads, so only table hashes heard this long
+# after the last change count, unless changes never end.
+SETTLE_S = 0.5
 QUIET_S = 2.0
 MAX_UNQUIET_S = 20.0
+
+# Nodes that start together join different parts of the group, and floods do
+# not yet reach all. Until this long after it joined, a node compares each
+# second.
+YOUNG_S = 10.0
 RETRY_S = 30.0
 JOIN_S = 1.0
 JOIN_ADDRESSES = 6
@@ -87,7 +93,7 @@
             clock=clock,
             manifest_version=lambda: self.manifest_version(),
         )
-        self.peer_hashes: dict[str, int] = {}
+        self.peer_hashes: dict[str, tuple[int, float]] = {}
         self.pauses = self.suspected = 0
         self._running = False
         self._joining = False
@@ -96,6 +102,7 @@
         self._last_tick = self._last_change = 0.0
         self._next_join = self._next_anti_entropy = self._next_retry = 0.0
         self._last_digest = 0.0
+        self._last_quiet = self._joined_at = 0.0
 
     def start(self):
         """Join the other members and take part in the gossip."""
@@ -112,6 +119,7 @@
         now = self.clock.seconds()
         self._last_tick = self._next_join = now
         self._last_digest = now - ANTI_ENTROPY_S
+        self._last_quiet = self._joined_at = now
         self._next_anti_entropy = now + self._jitter(ANTI_ENTROPY_S)
         self._next_retry = now + self._jitter(RETRY_S)
         self.directory.start()
@@ -166,7 +174,10 @@
             self._next_join = now + JOIN_S
             self._look_for_members()
         if now >= self._next_anti_entropy:
-            self._next_anti_entropy = now + ANTI_ENTROPY_S
+            young = now - self._joined_at < YOUNG_S
+            self._next_anti_entropy = now + (
+                JOIN_S if young else ANTI_ENTROPY_S
+            )
             self._compare(now)
         if now >= self._next_retry:
             self._next_retry = now + RETRY_S
@@ -195,18 +206,25 @@
 
     def _compare(self, now: float):
         """Send a digest to one neighbour whose table differs."""
-        quiet = now - self._last_change >= QUIET_S
-        if not quiet and now - self._last_digest < MAX_UNQUIET_S:
-            return
+        if now - self._last_change >= QUIET_S:
+            self._last_quiet = now
+        since = self._last_change + SETTLE_S
+        if now - self._last_quiet >= MAX_UNQUIET_S:
+            self._last_quiet = now
+            since = 0.0
         differing = [
             record
             for record in self.overlay.neighbours()
-            if self.peer_hashes.get(record.incarnation, self.table.table_hash)
-            != self.table.table_hash
+            if self._differs(record.incarnation, since)
         ]
         if differing:
             self._compare_with(self.random.choice(differing).address)
 
+    def _differs(self, incarnation: str, since: float) -> bool:
+        """Return whether a peer showed another table hash after a time."""
+        table_hash, heard_at = self.peer_hashes.get(incarnation, (0, -1.0))
+        return heard_at >= since and table_hash != self.table.table_hash
+
     def _compare_with(self, address: str):
         self._last_digest = self.clock.seconds()
         self.flooding.send_digest(address, reply=not self.table.alone)
@@ -316,6 +334,8 @@
         self._joining = self.table.alone
         self.table.merge(accepted)
         if self._joining and not self.table.alone:
+            self._joined_at = now
+            self._next_anti_entropy = now + JOIN_S
             self.flooding.flood_changes((self.table.own,))
         self._joining = False
 
@@ -358,7 +378,10 @@
             )
 
     def _note_peer(self, message: Probe | ProbeAnswer):
-        self.peer_hashes[message.sender] = message.table_hash
+        self.peer_hashes[message.sender] = (
+            message.table_hash,
+            self.clock.seconds(),
+        )
         if message.manifest_version > self.manifest_version():
             self.peer_has(message.manifest_version, message.reply_to)
 
