Send large batches of records over half the links

When a partition between regions heals, every member refutes its removal and every refutation is flooded.

--- a/flamingosail/flooding.py
+++ b/flamingosail/flooding.py
@@ -22,6 +22,10 @@
 # change is not delayed.
 FLOOD_BATCH_S = 0.02
 
+# Batches of more records are sent over half the links. In the healing of a
+# partition these floods are nearly all of the traffic.
+BULK_RECORDS = 8
+
 
 class Flooding:
     """Builds and sends the messages of the membership protocol."""
@@ -80,7 +84,13 @@
         self._pending.clear()
         self._last_flood = self.clock.seconds()
         self.floods += 1
-        self.flood(self._records(records), exclude=exclude)
+        message = self._records(records)
+        if len(records) <= BULK_RECORDS:
+            self.flood(message, exclude=exclude)
+            return
+        for record in self.overlay.bulk_neighbours():
+            if record.node != exclude:
+                self.send(record.address, message)
 
     def send_records(self, address: str, *records: MemberRecord):
         """Send member records to one address."""
