Bind retry grants to the request that they answer

Cause: a RetryGrant names only a ticket. Tickets start at 1 in each incarnation, so a late grant for an earlier incarnation at the same address grants a retry of another root. A duplicated RetryRequest spends a retry for each copy. Ruled out: duplicated grants, since a ticket is used once. Before: a node whose root has no retries is granted one; five copies of one request use up three retries. Change: the grant names the incarnation that asked (a new last field), and the pool remembers which requests of a root it has granted, at most as many as the root has retries. Conclusion: attempts beyond the first never exceed max_retries under stray grants, and duplicates cost no retry.

--- a/flamingosail/messages.py
+++ b/flamingosail/messages.py
@@ -133,10 +133,14 @@
 
 
 class RetryGrant(Message, frozen=True, array_like=True, tag="grant"):
-    """The answer to a RetryRequest."""
+    """The answer to a RetryRequest.
+
+    ``to`` is the incarnation that asked; tickets are unique within it.
+    """
 
     ticket: int
     granted: bool
+    to: str = ""
 
 
 class Records(Message, frozen=True, array_like=True, tag="records"):
--- a/flamingosail/retrypool.py
+++ b/flamingosail/retrypool.py
@@ -32,6 +32,8 @@
         self.transport = transport
         self.incarnation = incarnation
         self.left: dict[str, int] = {}
+        # Requests that were granted, at most as many as a root had retries.
+        self.answered: dict[str, set[tuple[str, int]]] = {}
         self.tickets = count(1)
         self.waiting: dict[int, tuple[Callable, object]] = {}
         self.granted = 0
@@ -46,6 +48,7 @@
     def close(self, root: str):
         """Forget a root; later requests for it are denied."""
         self.left.pop(root, None)
+        self.answered.pop(root, None)
 
     def take(self, root: str) -> bool:
         """Spend one retry of an own root if there is one."""
@@ -96,15 +99,35 @@
         grant = RetryGrant(
             sender=self.incarnation,
             ticket=message.ticket,
-            granted=self.take(message.root),
+            granted=self.take_once(message),
+            to=message.sender,
         )
         try:
             self.transport.send(message.reply_to, grant)
         except SendFailed:
             return
 
+    def take_once(self, message: RetryRequest) -> bool:
+        """Spend a retry, unless the request is a duplicate of a granted one.
+
+        The asking node uses a ticket once, however often it is granted.
+        """
+        ask = (message.sender, message.ticket)
+        if ask in self.answered.get(message.root, ()):
+            return True
+        granted = self.take(message.root)
+        if granted:
+            self.answered.setdefault(message.root, set()).add(ask)
+        return granted
+
     def on_grant(self, message: RetryGrant):
-        """Take the answer of the root's node."""
+        """Take the answer of the root's node.
+
+        A grant for an earlier incarnation at this address may carry the
+        ticket of another request.
+        """
+        if message.to != self.incarnation:
+            return
         self.decided(message.ticket, message.granted)
 
     def dump(self) -> dict:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,8 +1,56 @@
 """Regression tests of faults found in the decision core, one by one."""
 
 from testtools import TestCase
+from twisted.internet.task import Clock
 
+from flamingosail.messages import RetryRequest
 from flamingosail.replay import ReplayWindow
+from flamingosail.retrypool import RetryPool
+from flamingosail.transport import LoopbackNetwork
+
+
+class RetryPoolTest(TestCase):
+    """Guards the bound of retries under stray and duplicated messages."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        network = LoopbackNetwork(clock=self.clock, delay=lambda *args: 0.001)
+        self.root_transport = network.attach("root")
+        self.hop_transport = network.attach("hop")
+        self.root = RetryPool(
+            clock=self.clock,
+            transport=self.root_transport,
+            incarnation="root~1",
+        )
+        self.hop = RetryPool(
+            clock=self.clock,
+            transport=self.hop_transport,
+            incarnation="hop~2",
+        )
+
+    def test_grant_for_an_earlier_incarnation_grants_nothing(self):
+        self.root.open("r", 3)
+        early = RetryRequest(
+            sender="hop~1", reply_to="hop", ticket=1, root="r"
+        )
+        decisions = []
+        self.root_transport.handlers[RetryRequest](early)
+        self.hop.ask("root", "without retries", decisions.append)
+        self.clock.advance(0.001)
+        self.clock.advance(0.001)
+        self.assertEqual([False], decisions)
+
+    def test_duplicated_request_takes_one_retry(self):
+        self.root.open("r", 3)
+        request = RetryRequest(
+            sender="hop~2", reply_to="hop", ticket=1, root="r"
+        )
+        for _ in range(5):
+            self.root_transport.handlers[RetryRequest](request)
+        self.assertTrue(self.root.take("r"))
+        self.assertTrue(self.root.take("r"))
+        self.assertFalse(self.root.take("r"))
 
 
 class ReplayWindowTest(TestCase):
