Count the headers of stored answers towards the bound

Cause: KeyTable counts only bodies towards max_answer_bytes. Headers may have 16 KiB each, so 100,000 keys could hold 1.6 GB beyond the 64 MiB. Ruled out: expiry of running keys, which puts them back for one lifetime. Before: an answer with 2,000 bytes of headers is stored under a bound of 1,000 bytes. Change: names and values of headers count. Conclusion: the memory of stored answers is bounded, apart from the fixed overhead of each key.

--- a/flamingosail/keys.py
+++ b/flamingosail/keys.py
@@ -229,7 +229,7 @@
 
     def kept(self, answer: Answer) -> Answer:
         """Return the answer to store: only its verdict if memory is full."""
-        size = len(answer.body)
+        size = _stored_bytes(answer)
         if self.answer_bytes + size > self.max_answer_bytes:
             return refuse(
                 RefusalCode.BAD_ANSWER,
@@ -250,7 +250,7 @@
                 continue
             del self.entries[root]
             if entry.answer is not None:
-                self.answer_bytes -= len(entry.answer.body)
+                self.answer_bytes -= _stored_bytes(entry.answer)
             self.on_forget(root)
 
     def dump(self) -> dict:
@@ -260,3 +260,9 @@
             "keys": len(self.entries),
             "answer_bytes": self.answer_bytes,
         }
+
+
+def _stored_bytes(answer: Answer) -> int:
+    """Return the bytes of an answer that count towards the bound."""
+    headers = sum(len(name) + len(value) for name, value in answer.headers)
+    return len(answer.body) + headers
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,16 +1,22 @@
 """Regression tests of faults found in the decision core, one by one."""
 
+from random import Random
+
 from testtools import TestCase
 from twisted.internet.task import Clock
 
 from flamingosail.codec import decode
 from flamingosail.codec import encode
 from flamingosail.errors import CodecError
+from flamingosail.keys import Key
+from flamingosail.keys import KeyTable
 from flamingosail.messages import Call
 from flamingosail.messages import RetryRequest
 from flamingosail.replay import ReplayWindow
+from flamingosail.request import Answer
 from flamingosail.retrypool import RetryPool
 from flamingosail.transport import LoopbackNetwork
+from flamingosail.verdict import Verdict
 
 
 class RetryPoolTest(TestCase):
@@ -70,6 +76,25 @@
         self.assertEqual(2, len(window.senders))
 
 
+class KeyTableBoundTest(TestCase):
+    """Guards the bound of the memory of stored answers."""
+
+    def test_headers_count_as_answer_bytes(self):
+        table = KeyTable(
+            clock=Clock(),
+            random=Random(1),
+            incarnation="a~1",
+            max_answer_bytes=1000,
+        )
+        _, entry = table.use(Key.parse(table.issue()), "digest")
+        entry.begin()
+        headers = ((b"x-large", b"x" * 2000),)
+        answer = Answer(verdict=Verdict.RAN, status=200, headers=headers)
+        table.finish(answer, entry)
+        self.assertEqual((), entry.answer.headers)
+        self.assertEqual(Verdict.RAN, entry.answer.verdict)
+
+
 class CodecTest(TestCase):
     """Guards against a damaged message that is taken for a whole one."""
 
