Keep servers in use after refused trials and cancelled calls

Cause: a trial call of an ejected server that ends with overloaded leaves on_trial set, so the server never gets another trial. A call that its caller cancels counts as a failure of the server. Ruled out: refusals as failures; they do not reach note_outcome. Change: a refusal and a cancelled call free the trial, and a cancelled call counts neither as a failure nor as a latency. Conclusion: a server is left out only for its own failures and silence.

--- a/flamingosail/egress.py
+++ b/flamingosail/egress.py
@@ -265,31 +265,27 @@
         self.waits_for_retry = False
         if not granted or self.finished or self.attempt is not attempt:
             return
-        self.attempt = None
-        attempt.abandon()
-        self.verdict = max(self.verdict, Verdict.MAY_HAVE_RUN)
+        self.abandon_attempt(failed=True)
         self.retries += 1
         self.egress.retried += 1
         self.try_once()
 
     def on_deadline(self):
         """End the call because its time is up."""
-        if self.attempt is not None:
-            self.verdict = max(self.verdict, Verdict.MAY_HAVE_RUN)
-            self.abandon_attempt()
+        self.abandon_attempt(failed=True)
         self.refuse(RefusalCode.DEADLINE_EXCEEDED, "the deadline has passed")
 
     def on_cancelled(self, deferred: Deferred):
         """End the call because nobody waits for it any more."""
-        if self.attempt is not None:
-            self.verdict = max(self.verdict, Verdict.MAY_HAVE_RUN)
-            self.abandon_attempt()
+        self.abandon_attempt(failed=False)
         self.refuse(RefusalCode.CANCELLED, "the caller is gone")
 
-    def abandon_attempt(self):
-        """Give the open attempt up."""
+    def abandon_attempt(self, *, failed: bool):
+        """Give the open attempt up, if there is one."""
         attempt, self.attempt = self.attempt, None
-        attempt.abandon()
+        if attempt is not None:
+            self.verdict = max(self.verdict, Verdict.MAY_HAVE_RUN)
+            attempt.abandon(failed=failed)
 
     def refuse(self, code: RefusalCode, detail: str):
         """Finish with a refusal."""
@@ -420,11 +416,18 @@
         returned = answer.allowance.limit(self.lent)
         self.call.on_attempt_ended(self, answer.with_allowance(returned))
 
-    def abandon(self):
-        """Stop waiting for the answer; what was lent is lost."""
+    def abandon(self, *, failed: bool):
+        """Stop waiting for the answer; what was lent is lost.
+
+        ``failed`` says that the server did not answer in time.
+        """
         if self.ended:
             return
-        self.close(failed=True, refused=False)
+        if failed:
+            self.close(failed=True, refused=False)
+        else:
+            self.release()
+            self.egress.router.given_up(self.server)
         if self.work is not None:
             self.egress.ingress.cancel(self.work)
             return
@@ -438,9 +441,7 @@
 
     def close(self, *, failed: bool, refused: bool):
         """Release timers and report to the router."""
-        self.ended = True
-        if self.silence is not None and self.silence.active():
-            self.silence.cancel()
+        self.release()
         self.egress.router.finished(
             self.server,
             seconds=self.egress.clock.seconds() - self.sent_at,
@@ -448,6 +449,12 @@
             refused=refused,
         )
 
+    def release(self):
+        """Take no answer any more and stop the timer."""
+        self.ended = True
+        if self.silence is not None and self.silence.active():
+            self.silence.cancel()
+
 
 def _fired(answer: Answer) -> Deferred[Answer]:
     """Return a Deferred that has fired with an answer."""
--- a/flamingosail/routing.py
+++ b/flamingosail/routing.py
@@ -187,6 +187,19 @@
         stats.latency += LATENCY_SMOOTHING * (seconds - stats.latency)
         if not refused:
             self.note_outcome(stats, failed)
+        else:
+            # A refusal is no evidence, so another call may be the trial.
+            stats.on_trial = False
+
+    def given_up(self, server: MemberRecord):
+        """Take in that nobody waits for a call any more.
+
+        The time until then says nothing about the server.
+        """
+        stats = self.stats.get(server.incarnation)
+        if stats is not None:
+            stats.in_flight -= 1
+            stats.on_trial = False
 
     def note_outcome(self, stats: ServerStats, failed: bool):
         """Eject a server after failures, take it back after a success."""
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -14,9 +14,12 @@
 from flamingosail.messages import RetryRequest
 from flamingosail.replay import ReplayWindow
 from flamingosail.request import Answer
+from flamingosail.request import Request
 from flamingosail.retrypool import RetryPool
+from flamingosail.routing import FAILURES_IN_A_ROW
 from flamingosail.transport import LoopbackNetwork
 from flamingosail.verdict import Verdict
+from tests.fakes import Cluster
 
 
 class RetryPoolTest(TestCase):
@@ -124,3 +127,34 @@
                 damaged = bytearray(data)
                 damaged[position] ^= 1 << bit
                 self.assertRaises(CodecError, decode, bytes(damaged))
+
+
+class RouterTest(TestCase):
+    """Guards against a healthy server that gets no calls any more."""
+
+    def test_refused_trial_does_not_exclude_a_server_for_good(self):
+        cluster = Cluster({"histbook": 1, "gatekeeper": 2})
+        router = cluster.nodes["histbook-0"].router
+        server = cluster.members.records["gatekeeper-0"]
+        for _ in range(FAILURES_IN_A_ROW):
+            router.sent(server)
+            router.finished(server, seconds=0.1, failed=True, refused=False)
+        self.assertFalse(router.accepts(server, cluster.clock.seconds()))
+        cluster.advance(2, step=0.1)
+        router.sent(server)
+        router.finished(server, seconds=0.1, failed=True, refused=True)
+        self.assertTrue(router.accepts(server, cluster.clock.seconds()))
+
+    def test_cancelled_calls_do_not_eject_a_server(self):
+        cluster = Cluster({"histbook": 1, "gatekeeper": 2})
+        for node in cluster.nodes.values():
+            node.backend.behaviour.seconds = 1.0
+        entrance = cluster.nodes["histbook-0"].entrance
+        request = Request(kind="gate-check", method="GET", target="/")
+        for _ in range(4 * FAILURES_IN_A_ROW):
+            done = entrance.submit(request)
+            cluster.advance(0.01)
+            done.cancel()
+        router = cluster.nodes["histbook-0"].router
+        ejected = [s for s in router.stats.values() if s.ejected_until]
+        self.assertEqual([], ejected)
