Tell the truth about used keys and ended requests

Cause, in the entrance: (1) a node that shuts down or whose manifest lost the kind refuses a repeated key as not-run before it looks the key up; (2) a repeat that joins a run waits for that run and ignores its own timeout; (3) a repeated child call whose retry is granted after its parent ended spends the allowance that the parent has already given back; (4) a call with the token of an ended request gets a fresh allowance of max_calls; (5) cancelling a repeated child call leaves the call running and fires its Deferred twice. Ruled out: OutgoingCall.finish and Ingress.completed combine verdicts towards the stronger one; a not-run after children becomes may-have-run; work cancelled in the queue is never dispatched. Change: the owner answers used keys in any state; other nodes claim may-have-run for keys; a joining repeat has a timer; calls of ended requests are refused with not-allowed, not-run; the repeat hands its cancellation on.

--- a/flamingosail/entrance.py
+++ b/flamingosail/entrance.py
@@ -94,17 +94,21 @@
         """
         self.requests += 1
         try:
-            if self.closed:
-                end_request(
-                    RefusalCode.SHUTTING_DOWN, "the node is shutting down"
-                )
-            kind = self.kind_of(request)
-            if request.key is None:
-                return self.submit_without_key(request, kind)
-            return self.submit_with_key(request, kind)
+            if request.key is not None:
+                return self.submit_with_key(request)
+            return self.submit_without_key(request, self.open_kind(request))
         except RequestEnded as ended:
             return fired(ended.answer)
 
+    def open_kind(self, request: Request) -> KindSpec:
+        """Return the kind of a request that may start here.
+
+        :raises RequestEnded: if the node shuts down or the kind is unknown.
+        """
+        if self.closed:
+            end_request(RefusalCode.SHUTTING_DOWN, "the node is shutting down")
+        return self.kind_of(request)
+
     def kind_of(self, request: Request) -> KindSpec:
         """Return the kind of a request.
 
@@ -172,32 +176,40 @@
 
     # Requests with a key
 
-    def submit_with_key(
-        self, request: Request, kind: KindSpec
-    ) -> Deferred[Answer]:
+    def submit_with_key(self, request: Request) -> Deferred[Answer]:
         """Serve a request here or at the node that owns its key."""
         try:
             key = Key.parse(request.key)
             if key.incarnation == self.incarnation:
                 self.keys.check(key)
-                return self.run_key(key, request, kind)
+                return self.run_key(key, request)
         except InvalidKey as error:
             end_request(
                 RefusalCode.KEY_INVALID, str(error), key=self.issue_key()
             )
+        try:
+            kind = self.open_kind(request)
+        except RequestEnded as ended:
+            # Only the owner knows whether the key has been used.
+            refusal = ended.answer.refusal
+            end_request(
+                refusal.code, refusal.detail, verdict=Verdict.MAY_HAVE_RUN
+            )
         return self.forward(key, request, kind)
 
-    def run_key(
-        self, key: Key, request: Request, kind: KindSpec
-    ) -> Deferred[Answer]:
-        """Run, join or answer a request whose key this node owns."""
+    def run_key(self, key: Key, request: Request) -> Deferred[Answer]:
+        """Run, join or answer a request whose key this node owns.
+
+        What is known of a used key is told even if no request may start.
+        """
         state, entry = self.keys.use(key, request.digest())
         if state is KeyState.ANSWERED:
             return fired(entry.answer)
         if state is KeyState.RUNNING:
-            return self.join(entry, kind)
+            return self.join(entry, self.wait_seconds(request))
         if state is not KeyState.FRESH:
             self.refuse_key(state)
+        kind = self.open_kind(request)
         self.retries.open(key.signed, kind.max_retries)
         if entry.runs and not self.retries.take(key.signed):
             end_request(
@@ -205,10 +217,19 @@
                 "the request has used up its retries",
                 key=self.issue_key(),
             )
-        done = self.join(entry, kind)
+        done = self.join(entry, self.timeout(request, kind))
         self.start_key(key, entry, request, kind)
         return done
 
+    def wait_seconds(self, request: Request) -> float | None:
+        """Return how long a repeat waits for a run that is under way.
+
+        None if its kind has left the manifest: the run has a deadline.
+        """
+        manifest = self.manifest.current
+        kind = manifest.kinds.get(request.kind) if manifest else None
+        return self.timeout(request, kind) if kind is not None else None
+
     def refuse_key(self, state: KeyState):
         """Refuse a key that cannot be used.
 
@@ -236,30 +257,43 @@
         if entry.allowance is None:
             entry.allowance = Allowance(kind.max_calls)
         entry.begin()
+        entry.idempotent = kind.idempotent
         entry.call = self.call_root(request, kind, key.signed, entry.allowance)
         entry.call.addCallback(self.keys.finish, entry)
 
-    def join(self, entry: KeyEntry, kind: KindSpec) -> Deferred[Answer]:
-        """Wait for the end of a run that is under way.
+    def join(self, entry: KeyEntry, seconds: float | None) -> Deferred[Answer]:
+        """Wait for the end of a run, at most for ``seconds``.
 
         A run that is not idempotent goes on when nobody waits any more:
         its answer is kept for a repeat of the key.
         """
+        timer = None
+
+        def end(answer: Answer):
+            if timer is not None and timer.active():
+                timer.cancel()
+            done.callback(answer)
 
-        def leave(deferred):
-            entry.waiters.remove(done.callback)
-            if kind.idempotent and not entry.waiters and entry.call:
+        def leave(code: RefusalCode, detail: str):
+            entry.waiters.remove(end)
+            if entry.idempotent and not entry.waiters and entry.call:
                 entry.call.cancel()
-            done.callback(
-                refuse(
-                    RefusalCode.CANCELLED,
-                    Verdict.MAY_HAVE_RUN,
-                    "nobody waits for the answer",
-                )
-            )
+            end(refuse(code, Verdict.MAY_HAVE_RUN, detail))
 
-        done: Deferred[Answer] = Deferred(leave)
-        entry.waiters.append(done.callback)
+        done: Deferred[Answer] = Deferred(
+            lambda deferred: leave(
+                RefusalCode.CANCELLED, "nobody waits for the answer"
+            )
+        )
+        if seconds is not None and entry.state is KeyState.RUNNING:
+            # The run has the deadline of the request that started it.
+            timer = self.clock.callLater(
+                seconds,
+                leave,
+                RefusalCode.DEADLINE_EXCEEDED,
+                "the deadline has passed",
+            )
+        entry.waiters.append(end)
         return done
 
     def forward(
@@ -358,14 +392,21 @@
     ) -> Deferred[Answer]:
         """Carry a call that the own backend server makes.
 
-        ``token`` is the context of the request it serves; without a valid
-        one the call has the lowest priority and no retries.
+        ``token`` is the context of the request it serves; without one the
+        call has the lowest priority and no retries. A request that has
+        ended has given its allowance back, so its server may make no calls
+        for it.
         """
-        parent = self.ingress.serving.get(token) if token else None
         try:
             kind = self.kind_of(request)
-            if parent is None:
+            if not token:
                 return self.call_orphan(request, kind)
+            parent = self.ingress.serving.get(token)
+            if parent is None:
+                end_request(
+                    RefusalCode.NOT_ALLOWED,
+                    "the request that the call belongs to has ended",
+                )
             return self.call_child(request, kind, parent)
         except RequestEnded as ended:
             return fired(ended.answer)
@@ -420,19 +461,35 @@
         """Carry an idempotent child call; a repeat needs a retry."""
         if request.digest() not in parent.failed_digests:
             return self.run_child(request, kind, parent)
-        done: Deferred[Answer] = Deferred(self.on_child_cancelled)
+        child: Deferred[Answer] | None = None
+
+        def cancel(deferred: Deferred[Answer]):
+            if child is not None:
+                child.cancel()
+                return
+            done.callback(
+                refuse(
+                    RefusalCode.CANCELLED,
+                    Verdict.NOT_RUN,
+                    "nobody waits for the answer",
+                )
+            )
+
+        done: Deferred[Answer] = Deferred(cancel)
 
         def decide(granted: bool):
+            nonlocal child
             if done.called:
                 return
-            if granted:
-                self.run_child(request, kind, parent).chainDeferred(done)
+            if granted and parent.token in self.ingress.serving:
+                child = self.run_child(request, kind, parent)
+                child.chainDeferred(done)
                 return
             done.callback(
                 refuse(
                     RefusalCode.ATTEMPTS_EXHAUSTED,
                     Verdict.NOT_RUN,
-                    "the request has used up its retries",
+                    "the request has ended or has used up its retries",
                 )
             )
 
@@ -441,16 +498,6 @@
         )
         return done
 
-    def on_child_cancelled(self, done: Deferred[Answer]):
-        """End a child call that waits for a decision about its retry."""
-        done.callback(
-            refuse(
-                RefusalCode.CANCELLED,
-                Verdict.MAY_HAVE_RUN,
-                "nobody waits for the answer",
-            )
-        )
-
     def call_once(
         self, request: Request, kind: KindSpec, parent: Work
     ) -> Deferred[Answer]:
@@ -465,7 +512,7 @@
             )
         if entry.state is KeyState.ANSWERED:
             return fired(entry.answer)
-        done = self.join(entry, kind)
+        done = self.join(entry, self.timeout(request, kind))
         if entry.state is KeyState.FRESH:
             entry.begin()
             child = self.call_repeatable(request, kind, parent)
--- a/flamingosail/keys.py
+++ b/flamingosail/keys.py
@@ -116,6 +116,7 @@
     answer: Answer | None = None
     waiters: list[Callable[[Answer], None]] = field(default_factory=list)
     call: Deferred[Answer] | None = None
+    idempotent: bool = False
 
     def begin(self):
         """Mark a fresh key as running."""
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -8,9 +8,11 @@
 from flamingosail.codec import decode
 from flamingosail.codec import encode
 from flamingosail.errors import CodecError
+from flamingosail.errors import RefusalCode
 from flamingosail.keys import Key
 from flamingosail.keys import KeyTable
 from flamingosail.messages import Call
+from flamingosail.messages import RetryGrant
 from flamingosail.messages import RetryRequest
 from flamingosail.replay import ReplayWindow
 from flamingosail.request import Answer
@@ -21,6 +23,134 @@
 from flamingosail.verdict import Verdict
 from tests.fakes import Cluster
 
+BROWSE = Request(kind="browse", method="GET", target="/h")
+
+
+class KeyVerdictTest(TestCase):
+    """Guards against a not-run for a key that has run."""
+
+    def lost_answer(self):
+        """Return a cluster and a key that ran, with the answer stored."""
+        cluster = Cluster({"histbook": 2, "retire-svc": 1})
+        key = cluster.nodes["histbook-0"].entrance.issue_key()
+        cluster.send("histbook-0", "retire", "/1", key=key)
+        cluster.advance(0.1)
+        self.assertEqual(1, cluster.runs[("retire", "/1")])
+        return cluster, key
+
+    def test_closed_owner_gives_the_stored_answer(self):
+        cluster, key = self.lost_answer()
+        cluster.nodes["histbook-0"].entrance.closed = True
+        [answer] = cluster.send("histbook-0", "retire", "/1", key=key)
+        self.assertEqual(Verdict.RAN, answer.verdict)
+        self.assertEqual(b"/1", answer.body)
+
+    def test_closed_node_claims_nothing_about_keys_of_others(self):
+        cluster, key = self.lost_answer()
+        cluster.nodes["histbook-1"].entrance.closed = True
+        [answer] = cluster.send("histbook-1", "retire", "/1", key=key)
+        self.assertEqual(RefusalCode.SHUTTING_DOWN, answer.refusal.code)
+        self.assertEqual(Verdict.MAY_HAVE_RUN, answer.verdict)
+
+    def test_closed_owner_refuses_a_fresh_key_as_not_run(self):
+        cluster, _ = self.lost_answer()
+        entrance = cluster.nodes["histbook-0"].entrance
+        key = entrance.issue_key()
+        entrance.closed = True
+        [answer] = cluster.send("histbook-0", "retire", "/2", key=key)
+        self.assertEqual(RefusalCode.SHUTTING_DOWN, answer.refusal.code)
+        self.assertEqual(Verdict.NOT_RUN, answer.verdict)
+
+    def test_kind_that_left_the_manifest_is_not_claimed_not_run(self):
+        cluster, key = self.lost_answer()
+        manifest = cluster.manifest.current
+        kinds = {k: v for k, v in manifest.kinds.items() if k != "retire"}
+        object.__setattr__(manifest, "kinds", kinds)
+        [answer] = cluster.send("histbook-0", "retire", "/1", key=key)
+        self.assertEqual(Verdict.RAN, answer.verdict)
+        [answer] = cluster.send("histbook-1", "retire", "/1", key=key)
+        self.assertEqual(RefusalCode.UNKNOWN_KIND, answer.refusal.code)
+        self.assertEqual(Verdict.MAY_HAVE_RUN, answer.verdict)
+
+
+class DeadlineTest(TestCase):
+    """Guards against an answer long after the caller's own deadline."""
+
+    def test_joined_run_does_not_outlast_the_timeout_of_the_repeat(self):
+        cluster = Cluster({"histbook": 1, "retire-svc": 1})
+        cluster.nodes["retire-svc-0"].backend.behaviour.seconds = 1.5
+        key = cluster.nodes["histbook-0"].entrance.issue_key()
+        first = cluster.send("histbook-0", "retire", "/1", key=key)
+        second = cluster.send(
+            "histbook-0", "retire", "/1", key=key, timeout_ms=100
+        )
+        cluster.advance(0.2)
+        [answer] = second
+        self.assertEqual(RefusalCode.DEADLINE_EXCEEDED, answer.refusal.code)
+        self.assertEqual(Verdict.MAY_HAVE_RUN, answer.verdict)
+        cluster.advance(1.5)
+        self.assertTrue(first[0].succeeded)
+        self.assertEqual(1, cluster.runs[("retire", "/1")])
+
+
+class AllowanceTest(TestCase):
+    """Guards against calls that are spent twice or outside their root."""
+
+    def parent(self, cluster):
+        """Return the work of a gate check that is being served."""
+        cluster.nodes["gatekeeper-0"].backend.behaviour.silent = True
+        cluster.send("histbook-0", "gate-check", timeout_ms=500)
+        cluster.advance(0.01)
+        [work] = cluster.nodes["gatekeeper-0"].ingress.serving.values()
+        return work
+
+    def test_granted_repeat_of_an_ended_request_spends_nothing(self):
+        cluster = Cluster({"histbook": 1, "gatekeeper": 1})
+        node = cluster.nodes["gatekeeper-0"]
+        node.backend.behaviour.seconds = 0.1
+        cluster.send("histbook-0", "gate-check")
+        cluster.advance(0.05)
+        [work] = node.ingress.serving.values()
+        work.failed_digests.add(BROWSE.digest())
+        cluster.delay = lambda source, destination, message: (
+            0.2 if isinstance(message, RetryGrant) else 0.001
+        )
+        answers = []
+        done = node.entrance.submit_child(BROWSE, work.token)
+        done.addCallback(answers.append)
+        cluster.advance(0.5)
+        self.assertEqual(0, cluster.runs[("browse", "/h")])
+        self.assertEqual(Verdict.NOT_RUN, answers[0].verdict)
+
+    def test_call_of_an_ended_request_gets_no_new_allowance(self):
+        cluster = Cluster({"histbook": 1, "gatekeeper": 1})
+        work = self.parent(cluster)
+        cluster.advance(0.6)
+        node = cluster.nodes["gatekeeper-0"]
+        self.assertEqual({}, node.ingress.serving)
+        answers = []
+        done = node.entrance.submit_child(BROWSE, work.token)
+        done.addCallback(answers.append)
+        cluster.advance(0.1)
+        self.assertEqual(0, cluster.runs[("browse", "/h")])
+        self.assertEqual(RefusalCode.NOT_ALLOWED, answers[0].refusal.code)
+        self.assertEqual(Verdict.NOT_RUN, answers[0].verdict)
+
+    def test_cancelling_a_granted_repeat_cancels_the_call(self):
+        cluster = Cluster({"histbook": 1, "gatekeeper": 1})
+        work = self.parent(cluster)
+        work.failed_digests.add(BROWSE.digest())
+        cluster.nodes["histbook-0"].backend.behaviour.silent = True
+        node = cluster.nodes["gatekeeper-0"]
+        answers = []
+        done = node.entrance.submit_child(BROWSE, work.token)
+        done.addCallback(answers.append)
+        cluster.advance(0.05)
+        self.assertEqual(1, len(node.egress.calls))
+        done.cancel()
+        self.assertEqual(set(), node.egress.calls)
+        self.assertEqual(RefusalCode.CANCELLED, answers[0].refusal.code)
+
 
 class RetryPoolTest(TestCase):
     """Guards the bound of retries under stray and duplicated messages."""
