Keep an attempt that cannot be replaced

Cause: after half of its time an idempotent call gives its open attempt up for another one, even when no calls are left to make it with. Ruled out: the retry pool; the retry was granted. Before: with max_calls 8, a server that answers after 1.5 of 2 s ends in attempts-exhausted although its answer arrives in time. Change: a call without calls left asks for no retry. Conclusion: a slow answer is used unless another attempt can be made.

--- a/flamingosail/egress.py
+++ b/flamingosail/egress.py
@@ -230,6 +230,8 @@
     def ask_for_retry(self, decide, *args) -> bool:
         """Ask the root for a retry; return False if that is pointless."""
         egress = self.egress
+        if not self.allowance.calls:
+            return False
         if egress.pressure.overloaded(self.kind.name):
             return False
         if not egress.budget(self.kind).take():
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -12,6 +12,7 @@
 from flamingosail.keys import Key
 from flamingosail.keys import KeyTable
 from flamingosail.messages import Call
+from flamingosail.messages import Forward
 from flamingosail.messages import RetryGrant
 from flamingosail.messages import RetryRequest
 from flamingosail.replay import ReplayWindow
@@ -22,6 +23,7 @@
 from flamingosail.transport import LoopbackNetwork
 from flamingosail.verdict import Verdict
 from tests.fakes import Cluster
+from tests.fakes import MANIFEST
 
 BROWSE = Request(kind="browse", method="GET", target="/h")
 
@@ -288,3 +290,42 @@
         router = cluster.nodes["histbook-0"].router
         ejected = [s for s in router.stats.values() if s.ejected_until]
         self.assertEqual([], ejected)
+
+
+class ReplacementTest(TestCase):
+    """Guards against giving up an attempt that cannot be replaced."""
+
+    def test_slow_answer_counts_when_no_calls_are_left(self):
+        kind = {**MANIFEST["kinds"]["gate-check"], "max_calls": 8}
+        manifest = {**MANIFEST, "kinds": {"gate-check": kind}}
+        cluster = Cluster({"histbook": 1, "gatekeeper": 2}, manifest=manifest)
+        for node in cluster.nodes.values():
+            node.backend.behaviour.seconds = 1.5
+        answers = cluster.send("histbook-0", "gate-check", "/g")
+        cluster.advance(2.5, step=0.01)
+        self.assertTrue(answers[0].succeeded, answers[0])
+        self.assertEqual(1, cluster.runs[("gate-check", "/g")])
+
+
+class LateForwardTest(TestCase):
+    """Guards against a run after a not-run, by an earlier submission."""
+
+    def test_delayed_forward_does_not_run_after_a_not_run(self):
+        cluster = Cluster({"histbook": 2, "retire-svc": 1})
+        key = cluster.nodes["histbook-0"].entrance.issue_key()
+        cluster.delay = lambda source, destination, message: (
+            1.0 if isinstance(message, Forward) else 0.001
+        )
+        first = cluster.send(
+            "histbook-1", "retire", "/1", key=key, timeout_ms=100
+        )
+        cluster.advance(0.2)
+        self.assertEqual(Verdict.MAY_HAVE_RUN, first[0].verdict)
+        cluster.remove("retire-svc-0")
+        second = cluster.send("histbook-0", "retire", "/1", key=key)
+        cluster.advance(0.1)
+        self.assertEqual(Verdict.NOT_RUN, second[0].verdict)
+        record = cluster.nodes["retire-svc-0"].record
+        cluster.members.records["retire-svc-0"] = record
+        cluster.advance(1.5)
+        self.assertEqual(0, cluster.runs[("retire", "/1")])
