Make the tests independent of load and order

Timeouts of 0.5 s in tests/test_loghttp.py could expire under load.

Change: both sites get their reactor. The tests of the log client run on a reactor of their own whose time stands still and moves only when the test says so; timeouts are now checked to within 5%. A fixture fails any test that leaves a timer on the global reactor. The Ctrl-C tests set the default handler and wait for the script's second connection instead of 3 s. Tests of console scripts call main on a reactor of their own, and keep one or more runs as a process where the process is the point.

--- a/flamingosail/control.py
+++ b/flamingosail/control.py
@@ -219,6 +219,7 @@
             self.app.resource(),
             requestFactory=ControlRequest,
             timeout=SLOW_SENDER_SECONDS,
+            reactor=self.reactor,
         )
         site.displayTracebacks = False
         site.noisy = False
--- a/standins/logserver.py
+++ b/standins/logserver.py
@@ -78,7 +78,7 @@
 
     def site(self) -> Site:
         """Return the factory of the HTTP server."""
-        return Site(self.app.resource())
+        return Site(self.app.resource(), reactor=self.clock)
 
     @app.route("/streams/<name>/records", methods=["POST"])
     def append(self, request, name):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Fixed seeds, known failing tests and the closing count."""
 
 import re
+import sys
 from pathlib import Path
 
 import pytest
@@ -21,6 +22,20 @@
     return set(re.findall(r"^test: (\S+)", KNOWN_RED.read_text(), re.M))
 
 
+@pytest.fixture(autouse=True)
+def global_reactor_is_left_clean():
+    """Fail a test that leaves timers to the tests after it.
+
+    Sockets belong on a reactor of the test's own (tests/loops.py).
+    """
+    yield
+    reactor = sys.modules.get("twisted.internet.reactor")
+    calls = reactor.getDelayedCalls() if reactor else []
+    for call in calls:
+        call.cancel()
+    assert not calls, f"left on the global reactor: {calls}"
+
+
 def pytest_collection_modifyitems(items):
     """Let the listed tests fail without failing the run."""
     listed = known_red_tests()
--- a/tests/test_dumpcli.py
+++ b/tests/test_dumpcli.py
@@ -1,4 +1,4 @@
-"""Tests of the dump script as a process."""
+"""Tests of the dump script."""
 
 import json
 import signal
@@ -10,10 +10,18 @@
 from testtools import TestCase
 
 from flamingosail import __version__
+from flamingosail.dumpcli import main
 from flamingosail.dumpcli import render
+from tests.scripts import run_script
 
 ROOT = Path(__file__).parent.parent
-SCRIPT = "from flamingosail.dumpcli import main; main()"
+# A shell without job control starts background processes with SIGINT
+# ignored, and a script leaves it so; the test of Ctrl-C needs the default.
+SCRIPT = (
+    "import signal; "
+    "signal.signal(signal.SIGINT, signal.default_int_handler); "
+    "from flamingosail.dumpcli import main; main()"
+)
 
 
 def start(*command: str) -> subprocess.Popen:
@@ -30,7 +38,11 @@
 class DumpScriptTest(TestCase):
     """Guards against exit codes and output that scripts cannot rely on."""
 
-    def run_script(self, *arguments: str) -> tuple[int, str, str]:
+    def run_script(self, *arguments: str, **options) -> tuple[int, str, str]:
+        done = run_script(main, *arguments, **options)
+        return done.code, done.output, done.errors
+
+    def run_process(self, *arguments: str) -> tuple[int, str, str]:
         process = start("-c", SCRIPT, *arguments)
         output, errors = process.communicate(timeout=30)
         return process.returncode, output, errors
@@ -51,7 +63,7 @@
 
     def test_shows_the_state_of_a_node(self):
         address = self.node()
-        code, output, errors = self.run_script(address)
+        code, output, errors = self.run_process(address)
         self.assertEqual((0, ""), (code, errors))
         self.assertIn("[control]\n", output)
         self.assertIn("[queue]\nlength  2\n", output)
@@ -71,14 +83,14 @@
     def test_reports_a_node_that_is_not_reachable(self):
         server, address = self.silent_server()
         server.close()
-        code, output, errors = self.run_script(address)
+        code, output, errors = self.run_process(address)
         self.assertEqual((1, ""), (code, output))
         self.assertIn(address, errors)
         self.assertNotIn("Traceback", errors)
 
     def test_gives_up_on_a_node_that_does_not_answer(self):
         _, address = self.silent_server()
-        code, _, errors = self.run_script(address)
+        code, _, errors = self.run_script(address, speed=20.0)
         self.assertEqual(1, code, errors)
         self.assertNotIn("Traceback", errors)
 
--- a/tests/test_loghttp.py
+++ b/tests/test_loghttp.py
@@ -3,36 +3,53 @@
 import json
 from base64 import b64encode
 
-import treq
-from twisted.internet import reactor
+import twisted.internet
+import twisted.internet.reactor  # noqa: F401 - sets the attribute patched
+from testtools import TestCase
+from treq.client import HTTPClient
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.protocol import Factory
 from twisted.internet.protocol import Protocol
-from twisted.internet.task import deferLater
-from twisted.trial.unittest import TestCase
+from twisted.web.client import Agent
 
 from flamingosail.errors import LogUnavailable
 from flamingosail.loghttp import HttpLogService
 from flamingosail.logservice import LogPage
 from flamingosail.logservice import LogRecord
 from standins.logserver import LogServer
+from tests.loops import Loop
+from tests.loops import on_loop
 
 TIMEOUT = 0.5
 
 
 class LogHttpTestCase(TestCase):
-    # The Deferred support of testtools needs the package fixtures, which is
-    # not among the pinned ones; trial's cases wait for Deferreds as well.
-    timeout = 20
+    """Runs client and server on a loop whose time stands still."""
+
+    def setUp(self):
+        super().setUp()
+        self.loop = Loop(paused=True)
+        self.addCleanup(self.loop.close)
+        # treq sends bodies by the global cooperator, which takes the reactor
+        # from here.
+        self.patch(twisted.internet, "reactor", self.loop.reactor)
+        self.addCleanup(self.assert_no_timers)
+        self.http = HTTPClient(Agent(self.loop.reactor))
+
+    def assert_no_timers(self):
+        """Fail if a closed client or server left a timer behind."""
+        self.loop.until(lambda: not self.loop.reactor.getDelayedCalls())
 
     def listen(self, factory) -> str:
-        port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+        port = self.loop.reactor.listenTCP(0, factory, interface="127.0.0.1")
         self.addCleanup(port.stopListening)
         return f"http://127.0.0.1:{port.getHost().port}"
 
     def client(self, url) -> HttpLogService:
-        client = HttpLogService(reactor=reactor, url=url, timeout=TIMEOUT)
-        self.addCleanup(client.close)
+        client = HttpLogService(
+            reactor=self.loop.reactor, url=url, timeout=TIMEOUT
+        )
+        self.addCleanup(lambda: self.loop.result(client.close()))
         return client
 
     @inlineCallbacks
@@ -43,24 +60,34 @@
             return str(error)
         raise self.failureException(f"expected LogUnavailable, got {result!r}")
 
+    def assert_gives_up_in_time(self, deferred):
+        """Fail unless the client gives up exactly after its timeout."""
+        ended = []
+        self.assert_unavailable(deferred).addBoth(ended.append)
+        self.loop.advance(TIMEOUT * 0.95)
+        self.assertEqual([], ended)
+        self.loop.advance(TIMEOUT * 0.1)
+        self.assertEqual([str], [type(end) for end in ended], ended)
+
 
 class StandInTest(LogHttpTestCase):
     """Guards against a client and a stand-in that differ from the page."""
 
-    def setUp(self):  # noqa: N802 - name given by unittest
+    def setUp(self):
         super().setUp()
-        self.server = LogServer(clock=reactor, retention=3600.0)
+        self.server = LogServer(clock=self.loop.reactor, retention=3600.0)
         self.url = self.listen(self.server.site())
         self.log = self.client(self.url)
 
+    @inlineCallbacks
     def control(self, **changes):
-        return treq.put(
-            self.url + "/control",
-            json.dumps(changes).encode(),
-            persistent=False,
-        ).addCallback(treq.content)
+        response = yield self.http.put(
+            self.url + "/control", json.dumps(changes).encode()
+        )
+        self.assertEqual(200, response.code)
+        yield response.content()
 
-    @inlineCallbacks
+    @on_loop
     def test_appends_and_reads(self):
         for number in range(3):
             offset = yield self.log.append(stream="s", data=bytes([number]))
@@ -73,17 +100,17 @@
         page = yield self.log.read(stream="other", offset=0, limit=1)
         self.assertEqual(LogPage(first=0, end=0, records=()), page)
 
-    @inlineCallbacks
+    @on_loop
     def test_shows_trimmed_offsets(self):
         yield self.log.append(stream="s", data=b"old")
-        yield deferLater(reactor, 0.2, int)
+        self.loop.advance(0.2)
         yield self.log.append(stream="s", data=b"new")
         yield self.control(retention=0.15)
         page = yield self.log.read(stream="s", offset=0, limit=9)
         record = LogRecord(offset=1, data=b"new")
         self.assertEqual(LogPage(first=1, end=2, records=(record,)), page)
 
-    @inlineCallbacks
+    @on_loop
     def test_reports_a_log_that_is_down(self):
         yield self.control(down=True)
         reason = yield self.assert_unavailable(
@@ -97,18 +124,15 @@
         page = yield self.log.read(stream="s", offset=0, limit=1)
         self.assertEqual(0, page.end)
 
-    @inlineCallbacks
     def test_gives_up_on_a_slow_log(self):
-        yield self.control(delay=TIMEOUT * 2)
-        started = reactor.seconds()
-        yield self.assert_unavailable(
+        self.loop.result(self.control(delay=TIMEOUT * 2))
+        self.assert_gives_up_in_time(
             self.log.read(stream="s", offset=0, limit=1)
         )
-        self.assertLess(reactor.seconds() - started, TIMEOUT * 1.8)
         # Lets the stand-in finish, so that no timer outlives the test.
-        yield deferLater(reactor, TIMEOUT * 1.5, int)
+        self.loop.advance(TIMEOUT * 2)
 
-    @inlineCallbacks
+    @on_loop
     def test_a_lost_answer_is_not_repeated_by_the_client(self):
         yield self.log.append(stream="s", data=b"a")
         yield self.control(lose_answers=1)
@@ -118,7 +142,7 @@
             [b"a", b"b"], [record.data for record in page.records]
         )
 
-    @inlineCallbacks
+    @on_loop
     def test_refuses_malformed_requests(self):
         for path, status in (
             ("/streams/s/records", 400),
@@ -126,13 +150,13 @@
             ("/streams/s/records?offset=0&limit=0", 400),
             ("/streams/s%20s/records?offset=0&limit=1", 404),
         ):
-            response = yield treq.get(self.url + path, persistent=False)
-            yield treq.content(response)
+            response = yield self.http.get(self.url + path)
+            yield response.content()
             self.assertEqual(status, response.code, path)
-        response = yield treq.put(
-            self.url + "/control", b'{"nothing": 1}', persistent=False
+        response = yield self.http.put(
+            self.url + "/control", b'{"nothing": 1}'
         )
-        yield treq.content(response)
+        yield response.content()
         self.assertEqual(400, response.code)
 
 
@@ -153,7 +177,7 @@
         factory.answer = head.encode() + body
         return self.client(self.listen(factory))
 
-    @inlineCallbacks
+    @on_loop
     def test_reports_malformed_answers(self):
         data = b64encode(b"x").decode()
         for page in (
@@ -172,27 +196,30 @@
                 log.read(stream="s", offset=0, limit=1)
             )
 
-    @inlineCallbacks
+    @on_loop
     def test_reports_a_truncated_answer(self):
         factory = Factory.forProtocol(CannedAnswer)
         factory.answer = b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"
         log = self.client(self.listen(factory))
         yield self.assert_unavailable(log.read(stream="s", offset=0, limit=1))
 
-    @inlineCallbacks
+    @on_loop
     def test_reports_another_status_for_an_append(self):
         log = self.answering(b'{"offset": 3}', "200 OK")
         yield self.assert_unavailable(log.append(stream="s", data=b"x"))
 
-    @inlineCallbacks
+    @on_loop
     def test_reports_a_refused_connection(self):
-        port = reactor.listenTCP(0, Factory(), interface="127.0.0.1")
+        port = self.loop.reactor.listenTCP(0, Factory(), interface="127.0.0.1")
         number = port.getHost().port
         yield port.stopListening()
         log = self.client(f"http://127.0.0.1:{number}")
-        yield self.assert_unavailable(log.append(stream="s", data=b"x"))
+        ended = self.assert_unavailable(log.append(stream="s", data=b"x"))
+        # The client's endpoint looks for refusals every 0.3 s.
+        self.loop.turn()
+        self.loop.advance(TIMEOUT * 0.9)
+        yield ended
 
-    @inlineCallbacks
     def test_gives_up_on_a_silent_server(self):
         log = self.client(self.listen(Factory.forProtocol(Protocol)))
-        yield self.assert_unavailable(log.append(stream="s", data=b"x"))
+        self.assert_gives_up_in_time(log.append(stream="s", data=b"x"))
--- a/tests/test_publishcli.py
+++ b/tests/test_publishcli.py
@@ -1,10 +1,11 @@
-"""Tests of flamingosail-publish as a process, against the stand-in."""
+"""Tests of flamingosail-publish, against the stand-in."""
 
 import json
 import signal
 import subprocess
 import sys
 from pathlib import Path
+from socket import create_server
 from tempfile import TemporaryDirectory
 from urllib.request import Request
 from urllib.request import urlopen
@@ -16,11 +17,18 @@
 from flamingosail.publishcli import EXIT_REFUSED
 from flamingosail.publishcli import EXIT_UNKNOWN
 from flamingosail.publishcli import EXIT_USAGE
+from flamingosail.publishcli import main
+from tests.scripts import Done
+from tests.scripts import run_script
 
 ROOT = Path(__file__).parent.parent
 SCRIPT = [sys.executable, "-m", "flamingosail.publishcli"]
 SERVER = [sys.executable, "-m", "standins.logserver", "--port", "0"]
 VALID = b'{"services": {"a": {}}, "kinds": {}}'
+LOG_IS_DOWN = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n"
+    b"Connection: close\r\n\r\n{}"
+)
 INVALID = b'{"services": {"a": 1}, "kinds": 2}'
 
 
@@ -52,28 +60,33 @@
         with urlopen(request, timeout=5) as answer:
             self.assertEqual(200, answer.status)
 
-    def run_script(self, *arguments):
-        return subprocess.run(
+    def run_script(self, *arguments) -> Done:
+        return run_script(main, *arguments)
+
+    def run_process(self, *arguments) -> Done:
+        done = subprocess.run(
             [*SCRIPT, *map(str, arguments)],
             capture_output=True,
             cwd=ROOT,
             text=True,
             timeout=30,
         )
+        return Done(done.returncode, done.stdout, done.stderr)
 
-    def report(self, *arguments):
-        done = self.run_script(*arguments, "--log", self.url, "--json")
-        self.assertEqual("", done.stderr)
-        return done.returncode, json.loads(done.stdout)
+    def report(self, *arguments, run=None):
+        run = run or self.run_script
+        done = run(*arguments, "--log", self.url, "--json")
+        self.assertEqual("", done.errors)
+        return done.code, json.loads(done.output)
 
     def test_version_help_and_usage(self):
         done = self.run_script("--version")
         self.assertEqual(
-            (EXIT_OK, __version__), (done.returncode, done.stdout.strip())
+            (EXIT_OK, __version__), (done.code, done.output.strip())
         )
         done = self.run_script("--help")
-        self.assertEqual(EXIT_OK, done.returncode)
-        self.assertIn("Exit codes: 0 accepted or ok; 1 refused", done.stdout)
+        self.assertEqual(EXIT_OK, done.code)
+        self.assertIn("Exit codes: 0 accepted or ok; 1 refused", done.output)
         for arguments in (
             [],
             ["bogus"],
@@ -83,21 +96,19 @@
             ["show", "--log", "nonsense"],
         ):
             done = self.run_script(*arguments)
-            self.assertEqual(EXIT_USAGE, done.returncode, arguments)
-            self.assertNotIn("Traceback", done.stderr)
+            self.assertEqual(EXIT_USAGE, done.code, arguments)
+            self.assertNotIn("Traceback", done.errors)
 
     def test_check_needs_no_log(self):
-        self.assertEqual(
-            EXIT_OK, self.run_script("check", self.valid).returncode
-        )
+        self.assertEqual(EXIT_OK, self.run_script("check", self.valid).code)
         done = self.run_script("check", self.invalid)
-        self.assertEqual(EXIT_REFUSED, done.returncode)
-        self.assertIn("services.a: must be an object", done.stdout)
-        self.assertIn("kinds: must be an object", done.stdout)
+        self.assertEqual(EXIT_REFUSED, done.code)
+        self.assertIn("services.a: must be an object", done.output)
+        self.assertIn("kinds: must be an object", done.output)
 
     def test_publishes_shows_and_resolves(self):
         self.serve()
-        code, report = self.report("publish", self.valid)
+        code, report = self.report("publish", self.valid, run=self.run_process)
         self.assertEqual((EXIT_OK, "accepted"), (code, report["state"]))
         self.assertEqual(0, report["version"])
         code, shown = self.report("show")
@@ -121,20 +132,33 @@
         self.assertIn("nothing was sent", report["reason"])
 
     def test_ctrl_c_reports_unknown_without_a_traceback(self):
-        self.serve()
-        self.control(down=True)
+        server = create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        server.settimeout(20)
         process = subprocess.Popen(
-            [*SCRIPT, "show", "--log", self.url, "--timeout", "60"],
+            [
+                *SCRIPT,
+                "show",
+                "--log",
+                f"http://127.0.0.1:{server.getsockname()[1]}",
+                "--timeout",
+                "60",
+            ],
             cwd=ROOT,
             stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
             text=True,
         )
-        try:
-            output, errors = process.communicate(timeout=3)
-            self.fail(f"ended early: {output} {errors}")
-        except subprocess.TimeoutExpired:
-            process.send_signal(signal.SIGINT)
+        self.addCleanup(process.communicate)
+        self.addCleanup(process.kill)
+        # The script is under way, and goes on after a first failure, once
+        # it has connected again.
+        for _ in range(2):
+            connection, _ = server.accept()
+            connection.recv(4096)
+            connection.sendall(LOG_IS_DOWN)
+            connection.close()
+        process.send_signal(signal.SIGINT)
         output, errors = process.communicate(timeout=10)
         self.assertEqual(EXIT_UNKNOWN, process.returncode)
         self.assertEqual("unknown: interrupted\n", output)
--- a/tests/test_standin_backend.py
+++ b/tests/test_standin_backend.py
@@ -10,7 +10,9 @@
 
 from testtools import TestCase
 
+from standins.backendserver import main
 from standins.workload import check_answer
+from tests.scripts import run_script
 
 ROOT = Path(__file__).parent.parent
 
@@ -208,7 +210,6 @@
             ["--service", "x", "--kinds", '{"a": {"step": []}}'],
             ["--service", "x", "--control", "localhost:1"],
         ):
-            process = self.start("standins.backendserver", *arguments)
-            _, errors = process.communicate(timeout=20)
-            self.assertEqual(1, process.returncode, (arguments, errors))
-            self.assertNotIn("Traceback", errors)
+            done = run_script(main, *arguments)
+            self.assertEqual(1, done.code, (arguments, done.errors))
+            self.assertNotIn("Traceback", done.errors)
