Add the demo and start its processes at the same time

Starting took 8 s because each stand-in was waited for before the next pair was started; Platform now starts all and then reads their ports.

--- a/experiments/processes.py
+++ b/experiments/processes.py
@@ -8,13 +8,14 @@
 import tempfile
 import time
 import urllib.request
+from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
 
 from experiments.deployments import Deployment
 from experiments.deployments import ServiceShape
 
-__all__ = ["NodeProcess", "Platform"]
+__all__ = ["get_json", "NodeProcess", "Platform", "post_json"]
 
 START_TIMEOUT_SECONDS = 30.0
 STOP_TIMEOUT_SECONDS = 15.0
@@ -53,7 +54,7 @@
     control_port: int
     node: subprocess.Popen
     server: subprocess.Popen
-    server_port: int
+    server_port: int = 0
 
     def dump(self, service: str) -> dict:
         """Return the dump of one service of the node."""
@@ -116,6 +117,8 @@
                 ports=ports[4 * number : 4 * number + 4],
                 seeds=seeds,
             )
+        for node in self.nodes.values():
+            node.server_port = printed_port(node.server)
         self.wait_until(self.all_ready, "not all nodes became ready")
 
     def start_pair(
@@ -127,7 +130,10 @@
         ports: list[int],
         seeds: list[int],
     ) -> NodeProcess:
-        """Start one node and its backend server."""
+        """Start one node and its backend server, without waiting for them.
+
+        The caller sets ``server_port`` from ``printed_port``.
+        """
         settings = Path(self.directory.name, f"{name}.ini")
         settings.write_text(
             NODE_SETTINGS.format(
@@ -156,8 +162,12 @@
                 }
             )
         )
-        server, server_port = self.start_listening(
-            "standins.backendserver", "--settings", str(workload)
+        server = self.spawn(
+            "standins.backendserver",
+            "--settings",
+            str(workload),
+            stdout=subprocess.PIPE,
+            text=True,
         )
         process = NodeProcess(
             name=name,
@@ -168,7 +178,6 @@
             control_port=ports[3],
             node=node,
             server=server,
-            server_port=server_port,
         )
         self.nodes[name] = process
         return process
@@ -186,7 +195,7 @@
         process = self.spawn(
             module, *arguments, stdout=subprocess.PIPE, text=True
         )
-        return process, json.loads(process.stdout.readline())["port"]
+        return process, printed_port(process)
 
     def all_ready(self) -> bool:
         """Return whether every node knows every server as ready."""
@@ -196,6 +205,13 @@
             for node in self.nodes.values()
         )
 
+    def runs(self) -> Counter:
+        """Return how often each non-idempotent request was started."""
+        total = Counter()
+        for node in self.nodes.values():
+            total.update(get_json(node.server_port, "/runs"))
+        return total
+
     def publish(self, document: dict) -> dict:
         """Publish a manifest with the console script; return its report."""
         path = Path(self.directory.name, "manifest.json")
@@ -263,6 +279,11 @@
         self.directory.cleanup()
 
 
+def printed_port(process: subprocess.Popen) -> int:
+    """Wait until a stand-in listens and return the port that it prints."""
+    return json.loads(process.stdout.readline())["port"]
+
+
 def free_ports(number: int) -> list[int]:
     """Return ports that nothing listens on at the moment."""
     sockets = []
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,75 @@
+"""Tests of the checks that the demo makes."""
+
+import json
+
+from testtools import TestCase
+
+from experiments.demo import Count
+from experiments.demo import kept
+from standins.wire import WireRequest
+from standins.workload import own_answer
+
+PROBLEM = {"type": "urn:flamingosail:overloaded", "verdict": "not-run"}
+REFUSAL = {
+    "content-type": "application/problem+json",
+    "flamingosail-verdict": "not-run",
+}
+GOOD = {
+    "wrong_answers": 0,
+    "non_idempotent_duplicates": 0,
+    "unclear": 0,
+    "whole_answers": 9,
+    "non_idempotent_runs": 4,
+    "manifest_seconds": 6.0,
+    "drain_seconds": 3.0,
+    "repeats_agree": True,
+    "load_until_end": True,
+}
+
+
+class DemoTest(TestCase):
+    """Guards against a demo that passes although a promise was broken."""
+
+    def count(self, status, headers, body) -> Count:
+        count = Count()
+        count.add(status, headers, body, "/mine")
+        self.assertEqual(1, count.sent)
+        return count
+
+    def test_sorts_answers(self):
+        request = WireRequest("POST", "/mine", {}, b"")
+        body = own_answer(request, "histbook", 0).body
+        self.assertEqual(1, self.count(200, {}, body).whole)
+        self.assertEqual(1, self.count(200, {}, body[:-1]).wrong)
+        other = WireRequest("POST", "/other", {}, b"")
+        foreign = own_answer(other, "histbook", 0).body
+        self.assertEqual(1, self.count(200, {}, foreign).wrong)
+
+    def test_only_problem_details_with_a_verdict_are_refusals(self):
+        body = json.dumps(PROBLEM).encode()
+        refused = self.count(503, REFUSAL, body)
+        self.assertEqual({PROBLEM["type"]: 1}, dict(refused.refusals))
+        for headers, wrong in (
+            ({}, body),
+            (REFUSAL, b""),
+            (REFUSAL, b"[]"),
+            ({**REFUSAL, "flamingosail-verdict": "ran"}, body),
+            (REFUSAL, json.dumps({**PROBLEM, "type": "x"}).encode()),
+        ):
+            self.assertEqual(1, self.count(503, headers, wrong).unclear)
+        self.assertEqual(1, self.count(0, {}, b"connection reset").unclear)
+
+    def test_any_broken_promise_fails_the_demo(self):
+        self.assertTrue(kept(GOOD))
+        for name, value in (
+            ("wrong_answers", 1),
+            ("non_idempotent_duplicates", 1),
+            ("unclear", 1),
+            ("whole_answers", 0),
+            ("non_idempotent_runs", 0),
+            ("manifest_seconds", 6.01),
+            ("drain_seconds", 3.01),
+            ("repeats_agree", False),
+            ("load_until_end", False),
+        ):
+            self.assertFalse(kept({**GOOD, name: value}), name)
