--- a/flamingosail/transport.py
+++ b/flamingosail/transport.py
@@ -13,6 +13,7 @@
 from flamingosail.codec import encode
 from flamingosail.errors import CodecError
 from flamingosail.errors import SendFailed
+from flamingosail.kernel import Service
 from flamingosail.messages import Message
 
 __all__ = ["LoopbackNetwork", "LoopbackTransport", "Transport"]
@@ -20,7 +21,7 @@
 Handler = Callable[[Message], None]
 
 
-class Transport:
+class Transport(Service):
     """Sends typed messages to addresses and hands received ones out.
 
     Delivery is not reliable: a message may be lost, delayed, duplicated or
