--- a/flamingosail/entrance.py
+++ b/flamingosail/entrance.py
@@ -306,7 +306,9 @@
         done: Deferred[Answer] = Deferred(lambda deferred: stop("left"))
         timeout = self.timeout(request, kind)
         call_id = self.exchange.open(
-            owner.incarnation, lambda answer: finish(answer)
+            owner.incarnation,
+            lambda answer: finish(answer),
+            on_lost=lambda answer: stop("is gone"),
         )
         timer = self.clock.callLater(timeout, lambda: stop("did not answer"))
 
