End a key with its first answer, also with a not-run

Cause: a key that was proven not to have run became fresh again. A Forward of the same key that was delayed, or held by a frozen node, for longer than its caller waited then ran it after the caller had been told not-run.

Ruled out: asking the forwarding node whether its caller still waits; a frozen node has not yet read that its caller left. Refusing all forwards of such keys; a request that waits in the socket of the owner itself has the same fault.

Change: any answer ends the key; a not-run offers a successor key in Idempotency-Key, with the same allowance and retry pool and for the same request only. A full table answers may-have-run, since it cannot remember the refusal.

--- a/flamingosail/entrance.py
+++ b/flamingosail/entrance.py
@@ -209,17 +209,26 @@
             return self.join(entry, self.wait_seconds(request))
         if state is not KeyState.FRESH:
             self.refuse_key(state)
-        kind = self.open_kind(request)
-        self.retries.open(key.signed, kind.max_retries)
-        if entry.runs and not self.retries.take(key.signed):
+        try:
+            kind = self.open_kind(request)
+            self.take_run(entry, kind)
+        except RequestEnded as ended:
+            return fired(self.keys.refuse(ended.answer, entry))
+        done = self.join(entry, self.timeout(request, kind))
+        self.start_key(entry, request, kind)
+        return done
+
+    def take_run(self, entry: KeyEntry, kind: KindSpec):
+        """Take a retry for a run that is not the first of its root.
+
+        :raises RequestEnded: if no retries are left.
+        """
+        self.retries.open(entry.root, kind.max_retries)
+        if entry.runs and not self.retries.take(entry.root):
             end_request(
                 RefusalCode.ATTEMPTS_EXHAUSTED,
                 "the request has used up its retries",
-                key=self.issue_key(),
             )
-        done = self.join(entry, self.timeout(request, kind))
-        self.start_key(key, entry, request, kind)
-        return done
 
     def wait_seconds(self, request: Request) -> float | None:
         """Return how long a repeat waits for a run that is under way.
@@ -248,17 +257,21 @@
                 "the key belongs to another request",
                 key=self.issue_key(),
             )
-        end_request(RefusalCode.OVERLOADED, "the key table is full")
+        # The table does not remember that this key was refused, so that an
+        # earlier submission of it may still run.
+        end_request(
+            RefusalCode.OVERLOADED,
+            "the key table is full",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
 
-    def start_key(
-        self, key: Key, entry: KeyEntry, request: Request, kind: KindSpec
-    ):
+    def start_key(self, entry: KeyEntry, request: Request, kind: KindSpec):
         """Start a run of a fresh key."""
         if entry.allowance is None:
             entry.allowance = Allowance(kind.max_calls)
         entry.begin()
         entry.idempotent = kind.idempotent
-        entry.call = self.call_root(request, kind, key.signed, entry.allowance)
+        entry.call = self.call_root(request, kind, entry.root, entry.allowance)
         entry.call.addCallback(self.keys.finish, entry)
 
     def join(self, entry: KeyEntry, seconds: float | None) -> Deferred[Answer]:
@@ -507,7 +520,9 @@
         digest = request.digest()
         entry = parent.child_keys.get(request.key)
         if entry is None:
-            entry = parent.child_keys[request.key] = KeyEntry(digest=digest)
+            entry = parent.child_keys[request.key] = KeyEntry(
+                root=parent.context.root, digest=digest
+            )
         if entry.digest != digest:
             end_request(
                 RefusalCode.KEY_REUSED, "the key belongs to another request"
--- a/flamingosail/keys.py
+++ b/flamingosail/keys.py
@@ -106,9 +106,12 @@
 class KeyEntry:
     """What the owner knows of a key that has been used.
 
-    ``allowance`` is what later runs may spend; None before the first run.
+    ``root`` is the id of the root request; a key and its successors share
+    it. ``runs`` counts the runs that made attempts, ``allowance`` is what
+    the next run may spend; None before the first.
     """
 
+    root: str
     digest: str
     state: KeyState = KeyState.FRESH
     runs: int = 0
@@ -126,18 +129,13 @@
     def finish(self, answer: Answer):
         """Keep the end of a run and hand it to all waiters.
 
-        A proven not-run makes the key fresh again, with what is left of its
-        allowance. A run without any attempt does not count.
+        Also a proven not-run ends the key: an earlier submission of it may
+        still be on its way, and must not run after a caller was told that
+        the request did not.
         """
         self.call = None
-        if answer.verdict is Verdict.NOT_RUN:
-            self.state = KeyState.FRESH
-            if answer.allowance == self.allowance:
-                self.runs -= 1
-            self.allowance = answer.allowance
-        else:
-            self.state = KeyState.ANSWERED
-            self.answer = answer
+        self.state = KeyState.ANSWERED
+        self.answer = answer
         waiters, self.waiters = self.waiters, []
         for waiter in waiters:
             waiter(answer)
@@ -201,25 +199,6 @@
         if not compare_digest(key.mac.encode(), self.mac(key).encode()):
             raise InvalidKey("the key was not issued by the node it names")
 
-    def peek(self, text: str) -> KeyState:
-        """Return the state of a key without using it.
-
-        The state is FRESH if the key certainly has not led to a run, and
-        EXPIRED if this node cannot know.
-        """
-        try:
-            key = Key.parse(text)
-        except InvalidKey:
-            return KeyState.FRESH
-        if key.incarnation != self.incarnation:
-            return KeyState.EXPIRED
-        entry = self.entries.get(key.signed)
-        if entry is not None:
-            return entry.state
-        expires = self.started + key.issued_ms / 1000 + KEY_LIFETIME_SECONDS
-        expired = expires <= self.clock.seconds()
-        return KeyState.EXPIRED if expired else KeyState.FRESH
-
     def use(self, key: Key, digest: str) -> tuple[KeyState, KeyEntry | None]:
         """Return the state of a checked key for a request.
 
@@ -237,15 +216,52 @@
             return KeyState.EXPIRED, None
         if len(self.entries) >= self.max_keys:
             return KeyState.FULL, None
-        entry = self.entries[root] = KeyEntry(digest=digest)
-        heappush(self.expiry, (expires, root))
+        entry = KeyEntry(root=root, digest=digest)
+        self.add(root, expires, entry)
         return KeyState.FRESH, entry
 
+    def add(self, signed: str, expires: float, entry: KeyEntry):
+        """Keep an entry until it expires."""
+        self.entries[signed] = entry
+        heappush(self.expiry, (expires, signed))
+
     def finish(self, answer: Answer, entry: KeyEntry):
         """End a run; its answer is stored while memory lasts."""
+        if answer.verdict is Verdict.NOT_RUN:
+            if answer.allowance == entry.allowance:
+                entry.runs -= 1  # No attempt was made.
+            entry.allowance = answer.allowance
+            answer = replace(answer, key=self.successor(entry))
         entry.finish(answer)
-        if entry.answer is not None:
-            entry.answer = self.kept(entry.answer)
+        entry.answer = self.kept(answer)
+
+    def refuse(self, answer: Answer, entry: KeyEntry) -> Answer:
+        """End a fresh key without a run and return its answer."""
+        if answer.key is None:
+            answer = replace(answer, key=self.successor(entry))
+        entry.finish(answer)
+        return answer
+
+    def successor(self, entry: KeyEntry) -> str | None:
+        """Return a key for another run of a request that did not run.
+
+        It keeps what is left of the allowance, and the retries of the root.
+        None if the table is full.
+        """
+        if len(self.entries) >= self.max_keys:
+            return None
+        text = self.issue()
+        self.add(
+            Key.parse(text).signed,
+            self.clock.seconds() + KEY_LIFETIME_SECONDS,
+            KeyEntry(
+                root=entry.root,
+                digest=entry.digest,
+                runs=entry.runs,
+                allowance=entry.allowance,
+            ),
+        )
+        return text
 
     def kept(self, answer: Answer) -> Answer:
         """Return the answer to store: only its verdict if memory is full."""
@@ -263,15 +279,16 @@
         """Drop keys past their lifetime, except those that still run."""
         now = self.clock.seconds()
         while self.expiry and self.expiry[0][0] <= now:
-            _, root = heappop(self.expiry)
-            entry = self.entries[root]
+            _, signed = heappop(self.expiry)
+            entry = self.entries[signed]
             if entry.state is KeyState.RUNNING:
-                heappush(self.expiry, (now + KEY_LIFETIME_SECONDS, root))
+                heappush(self.expiry, (now + KEY_LIFETIME_SECONDS, signed))
                 continue
-            del self.entries[root]
+            del self.entries[signed]
             if entry.answer is not None:
                 self.answer_bytes -= _stored_bytes(entry.answer)
-            self.on_forget(root)
+            if entry.answer is None or entry.answer.key is None:
+                self.on_forget(entry.root)
 
     def dump(self) -> dict:
         """Return the use of the table."""
