Start the seeds of a deployment before its other nodes

When all 13 nodes started at once, those that found each other by the log before a seed listened were no longer alone, so they did not probe the seeds again within RETRY_S. Islands of 4 to 9 members lasted up to 11 s. Platform now waits until the three seeds know each other.

--- a/experiments/processes.py
+++ b/experiments/processes.py
@@ -19,6 +19,7 @@
 
 START_TIMEOUT_SECONDS = 30.0
 STOP_TIMEOUT_SECONDS = 15.0
+SEEDS = 3
 ROOT = Path(__file__).parent.parent
 
 NODE_SETTINGS = """\
@@ -108,8 +109,12 @@
             for index in range(shape.servers)
         ]
         ports = free_ports(4 * len(places))
-        seeds = [ports[4 * i] for i in range(min(3, len(places)))]
+        seeds = [ports[4 * i] for i in range(min(SEEDS, len(places)))]
         for number, (shape, index) in enumerate(places):
+            if number == SEEDS:
+                # Nodes that start before any seed listens join each other
+                # by the log and look for the seeds again only after 30 s.
+                self.wait_for_servers()
             self.start_pair(
                 shape,
                 name=f"{shape.name}-{index}",
@@ -117,8 +122,13 @@
                 ports=ports[4 * number : 4 * number + 4],
                 seeds=seeds,
             )
+        self.wait_for_servers()
+
+    def wait_for_servers(self):
+        """Wait until all nodes started so far know each other as ready."""
         for node in self.nodes.values():
-            node.server_port = printed_port(node.server)
+            if not node.server_port:
+                node.server_port = printed_port(node.server)
         self.wait_until(self.all_ready, "not all nodes became ready")
 
     def start_pair(
@@ -132,7 +142,7 @@
     ) -> NodeProcess:
         """Start one node and its backend server, without waiting for them.
 
-        The caller sets ``server_port`` from ``printed_port``.
+        ``wait_for_servers`` sets ``server_port``.
         """
         settings = Path(self.directory.name, f"{name}.ini")
         settings.write_text(
