--- a/tests/test_naive.py
+++ b/tests/test_naive.py
@@ -282,3 +282,22 @@
         outcomes = on_both(self.outcome)
         self.assertLess(outcomes["naive"][0], 0.5, outcomes)
         self.assertGreaterEqual(outcomes["ours"][0], 0.95, outcomes)
+
+
+class LeavingServerTest(TestCase):
+    """Guards guarantee 6 while the member tables still call it ready."""
+
+    def runs(self, path):
+        cluster = Cluster({"edge": 1, "gatekeeper": 3}, add_path=path)
+        leaving = cluster.nodes["gatekeeper-0"]
+        leaving.ingress.draining = True
+        leaving.backend.runs = Counter()
+        for number in range(300):
+            cluster.send("edge-0", "gate-check", f"/{number}")
+            cluster.advance(0.004, STEP_SECONDS)
+        return sum(leaving.backend.runs.values())
+
+    def test_answers_of_a_leaving_server_end_its_traffic(self):
+        runs = on_both(self.runs)
+        self.assertEqual(100, runs["naive"], runs)
+        self.assertLessEqual(runs["ours"], 10, runs)
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -401,3 +401,23 @@
     @given(st.integers(0, 2**32))
     def test_many_requests(self, seed):
         self.check(seed, dense_schedule(seed))
+
+
+class ShutdownTest(TestCase):
+    """Guards guarantee 7: a node that closes interrupts no request."""
+
+    def test_requests_in_progress_finish_at_closed_nodes(self):
+        run = Run(1)
+        for name in NODES:
+            run.behave(name, {"seconds": 0.01})
+        for name in ("front-0", "mid-0", "deep-0"):
+            run.order(name, None)
+            run.page(name, None)
+        run.cluster.advance(0.03, STEP_SECONDS)
+        for name in ("front-0", "mid-0", "deep-0"):
+            run.close(name, True)
+        run.cluster.advance(1, STEP_SECONDS)
+        answers = [a for s in run.cluster.submissions for a in s.answers]
+        self.assertEqual(6, len(answers))
+        self.assertEqual([200] * 6, [a.status for a in answers])
+        run.check()
