--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from random import Random
 
+from hypothesis import example
 from hypothesis import given
 from hypothesis import HealthCheck
 from hypothesis import settings
@@ -399,5 +400,26 @@
 
     @settings(max_examples=60)
     @given(st.integers(0, 2**32))
+    @example(1044)  # A late duplicate of a Forward ran after a not-run.
     def test_many_requests(self, seed):
         self.check(seed, dense_schedule(seed))
+
+
+class ShutdownTest(TestCase):
+    """Guards guarantee 7: a node that closes interrupts no request."""
+
+    def test_requests_in_progress_finish_at_closed_nodes(self):
+        run = Run(1)
+        for name in NODES:
+            run.behave(name, {"seconds": 0.01})
+        for name in ("front-0", "mid-0", "deep-0"):
+            run.order(name, None)
+            run.page(name, None)
+        run.cluster.advance(0.03, STEP_SECONDS)
+        for name in ("front-0", "mid-0", "deep-0"):
+            run.close(name, True)
+        run.cluster.advance(1, STEP_SECONDS)
+        answers = [a for s in run.cluster.submissions for a in s.answers]
+        self.assertEqual(6, len(answers))
+        self.assertEqual([200] * 6, [a.status for a in answers])
+        run.check()
