Let young nodes go on looking for members; resolve without threads

Cause of the first: a node that had found any other member stopped probing its seeds until the 30 s retry, so nodes that started together formed groups that did not know each other for up to 11 s. Now a node looks for members it does not know for its first 10 s. Before: the new test of two groups failed after 6 s; after: it passes.

Cause of the second: twisted resolves host names in a thread, also IP numbers, for the log client. A node now has a resolver that accepts IP numbers only.

--- a/flamingosail/gossip.py
+++ b/flamingosail/gossip.py
@@ -170,11 +170,11 @@
         self._probe_neighbours(now)
         self._remove_dead(now)
         self.directory.check()
-        if self.table.alone and now >= self._next_join:
+        young = now - self._joined_at < YOUNG_S
+        if (young or self.table.alone) and now >= self._next_join:
             self._next_join = now + JOIN_S
             self._look_for_members()
         if now >= self._next_anti_entropy:
-            young = now - self._joined_at < YOUNG_S
             self._next_anti_entropy = now + (
                 JOIN_S if young else ANTI_ENTROPY_S
             )
@@ -249,7 +249,11 @@
                 self.directory.forget(address)
 
     def _look_for_members(self):
-        """Probe some seeds, addresses from the log and removed members."""
+        """Probe some seeds, addresses from the log and removed members.
+
+        A young node does so too when it has found some members: nodes that
+        start together can form groups that do not know each other.
+        """
         removed = [record.address for record in self.table.removed()]
         self.random.shuffle(removed)
         self._probe_addresses(self.directory.pick(JOIN_ADDRESSES))
--- a/flamingosail/nodecli.py
+++ b/flamingosail/nodecli.py
@@ -15,6 +15,7 @@
 from flamingosail import __version__
 from flamingosail.daemon import Daemon
 from flamingosail.daemon import use_monotonic_time
+from flamingosail.ipresolver import IpResolver
 from flamingosail.logs import JsonLinesHandler
 from flamingosail.logs import TwistedObserver
 from flamingosail.node import add_call_path
@@ -65,6 +66,7 @@
     from twisted.internet import reactor
 
     use_monotonic_time(reactor)
+    reactor.installNameResolver(IpResolver())
     handler = JsonLinesHandler(
         level=settings.logging.level, fields={"node": settings.node.name}
     )
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -77,6 +77,18 @@
         log.down = False
         self.assertIsNotNone(cluster.run_until(cluster.agreed, 200))
 
+    def test_groups_that_started_apart_merge_soon(self):
+        # Guards against nodes that stop looking once they know one other.
+        cluster = Cluster()
+        seeds = ["10.0.0.0:7000", "10.0.0.2:7000"]
+        cluster.start(2, seeds=seeds)
+        cluster.start(3, seeds=["10.0.0.2:7000"])
+        cluster.run(2)
+        cluster.start(0, seeds=["10.0.0.1:7000"])
+        cluster.start(1, seeds=["10.0.0.0:7000"])
+        cluster.run(6)
+        self.assertTrue(cluster.agreed())
+
     def test_a_restarted_node_replaces_its_earlier_incarnation(self):
         cluster, nodes = running(12)
         for _ in range(3):
