Measure the naive version and ours with real processes

The stand-in backend server records arrivals and starts of every target, for attempts per root and false not-run answers. The naive node did not accept announcements since its ingress had no announcement. Ports of the nodes lie below the ephemeral range: outgoing connections took some of them before their nodes started.

--- a/baseline/naive.py
+++ b/baseline/naive.py
@@ -57,12 +57,14 @@
         self.backend = backend
         self.tokens = count(1)
         self.in_flight = 0
+        self.announcement = None
         self.draining = False
         self.closed = False
         transport.listen(Call, self.on_call)
 
     def announce(self, announcement):
         """Use the backend server that announced itself."""
+        self.announcement = announcement
         self.backend.connect(announcement)
 
     def on_call(self, message: Call):
--- a/experiments/processes.py
+++ b/experiments/processes.py
@@ -8,8 +8,10 @@
 import tempfile
 import time
 import urllib.request
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
+from random import SystemRandom
 
 from experiments.deployments import Deployment
 from experiments.deployments import ServiceShape
@@ -17,7 +19,12 @@
 __all__ = ["NodeProcess", "Platform"]
 
 START_TIMEOUT_SECONDS = 30.0
+# Starting a process takes the time of its imports.
+STARTS_AT_ONCE = 8
 STOP_TIMEOUT_SECONDS = 15.0
+PORTS = range(12_000, 32_000)
+# Platforms that start at the same time must not get the same ports.
+HANDED_OUT: set[int] = set()
 ROOT = Path(__file__).parent.parent
 
 NODE_SETTINGS = """\
@@ -108,14 +115,19 @@
         ]
         ports = free_ports(4 * len(places))
         seeds = [ports[4 * i] for i in range(min(3, len(places)))]
-        for number, (shape, index) in enumerate(places):
-            self.start_pair(
-                shape,
-                name=f"{shape.name}-{index}",
-                failure_domain=domains[index % len(domains)],
-                ports=ports[4 * number : 4 * number + 4],
-                seeds=seeds,
-            )
+        with ThreadPoolExecutor(STARTS_AT_ONCE) as pool:
+            started = [
+                pool.submit(
+                    self.start_pair,
+                    shape,
+                    name=f"{shape.name}-{index}",
+                    failure_domain=domains[index % len(domains)],
+                    ports=ports[4 * number : 4 * number + 4],
+                    seeds=seeds,
+                )
+                for number, (shape, index) in enumerate(places)
+            ]
+        self.nodes = {pair.result().name: pair.result() for pair in started}
         self.wait_until(self.all_ready, "not all nodes became ready")
 
     def start_pair(
@@ -264,16 +276,26 @@
 
 
 def free_ports(number: int) -> list[int]:
-    """Return ports that nothing listens on at the moment."""
-    sockets = []
-    for _ in range(number):
-        sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    """Return ports that nothing listens on at the moment.
+
+    They lie below the range from which the system gives ports to outgoing
+    connections and to listeners without a number, which would otherwise
+    take some of them before their node starts.
+    """
+    ports = []
+    for port in SystemRandom().sample(PORTS, len(PORTS)):
+        if port in HANDED_OUT:
+            continue
+        HANDED_OUT.add(port)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == number:
+            return ports
+    raise OSError(f"fewer than {number} ports are free")
 
 
 def get_json(port: int, path: str) -> dict:
--- a/flamingosail/load.py
+++ b/flamingosail/load.py
@@ -228,7 +228,7 @@
             intended=intended,
             client=self.random.randrange(len(self.clients)),
         )
-        self.results.sent(kind, intended)
+        self.results.sent(kind, intended, self.now)
         self.attempt(request)
         self.await_arrival(kind, intended)
 
--- a/flamingosail/loadresults.py
+++ b/flamingosail/loadresults.py
@@ -96,12 +96,7 @@
                 for (code, verdict), count in sorted(self.refused.items())
             ],
             "errors": dict(self.errors),
-            "latency_ms": {
-                f"p{percentile:g}": round(
-                    self.latency.get_value_at_percentile(percentile) / 1000, 3
-                )
-                for percentile in PERCENTILES
-            },
+            "latency_ms": percentiles(self.latency),
         }
 
 
@@ -111,7 +106,9 @@
     ``offered`` and ``good`` are, by importance, the requests and those
     answered whole in time by their intended time; ``goodput`` has the latter
     by the time of the answer. ``latency`` has [count, sum, maximum] in
-    seconds of the whole answers by intended time.
+    seconds of the whole answers by intended time. ``lag`` is a histogram in
+    us of the time from the intended to the actual sending; a large one says
+    that the generator itself did not keep up.
     """
 
     def __init__(self, *, kinds: Sequence):
@@ -121,9 +118,11 @@
         self.good: dict[str, list[int]] = {name: [] for name in names}
         self.goodput: dict[str, list[int]] = {name: [] for name in names}
         self.latency: list[list[float]] = []
+        self.lag = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
 
-    def sent(self, kind, intended: float):
+    def sent(self, kind, intended: float, now: float):
         """Count a request."""
+        self.lag.record_value(microseconds(now - intended))
         self.kinds[kind.name].sent += 1
         add_one(self.offered[kind.importance], intended)
 
@@ -138,9 +137,7 @@
         if outcome.result != "whole":
             return
         seconds = max(0.0, now - intended)
-        found.latency.record_value(
-            min(MAX_LATENCY_US, max(1, round(seconds * 1e6)))
-        )
+        found.latency.record_value(microseconds(seconds))
         if seconds > kind.timeout:
             found.late += 1
             return
@@ -168,9 +165,25 @@
             "good": self.good,
             "goodput": self.goodput,
             "latency": self.latency,
+            "send_lag_ms": percentiles(self.lag),
         }
 
 
+def microseconds(seconds: float) -> int:
+    """Return a time within the range of the histograms."""
+    return min(MAX_LATENCY_US, max(1, round(seconds * 1e6)))
+
+
+def percentiles(histogram: HdrHistogram) -> dict[str, float]:
+    """Return percentiles of a histogram of microseconds, in ms."""
+    return {
+        f"p{percentile:g}": round(
+            histogram.get_value_at_percentile(percentile) / 1000, 3
+        )
+        for percentile in PERCENTILES
+    }
+
+
 def add_one(series: list[int], at: float):
     """Count one at a time since the start of the run."""
     index = int(at / SERIES_SECONDS)
--- a/standins/backendserver.py
+++ b/standins/backendserver.py
@@ -8,8 +8,8 @@
 works, and again whenever a load report fails or needed a new connection.
 
 Besides requests it serves ``POST /control`` (see ``ControlOrder``),
-``GET /runs``, ``GET /stats``, ``GET /health`` and ``DELETE
-/flamingosail/requests/<token>``.
+``GET /runs``, ``GET /targets``, ``GET /stats``, ``GET /health`` and
+``DELETE /flamingosail/requests/<token>``.
 """
 
 import json
@@ -148,6 +148,7 @@
             return succeed(WireAnswer(204 if found else 404))
         own = {
             ("GET", "/runs"): self._runs,
+            ("GET", "/targets"): self._targets,
             ("GET", "/stats"): self._stats,
             ("GET", "/health"): self._health,
             ("POST", "/control"): self._control,
@@ -159,6 +160,9 @@
     def _runs(self, request: WireRequest) -> Deferred[WireAnswer]:
         return json_answer(dict(self.workload.runs))
 
+    def _targets(self, request: WireRequest) -> Deferred[WireAnswer]:
+        return json_answer(self.workload.targets)
+
     def _stats(self, request: WireRequest) -> Deferred[WireAnswer]:
         return json_answer(
             {**self.workload.stats(), "announced": self.announced}
--- a/standins/workload.py
+++ b/standins/workload.py
@@ -83,9 +83,10 @@
 
     ``call`` sends a step's request, with a timeout in seconds, and returns
     a Deferred of a WireAnswer. ``runs`` counts the started requests that
-    are not idempotent. The attributes ``service_ms``, ``frozen`` and
-    ``failing`` may be changed at any time; call ``thaw`` after clearing
-    ``frozen``.
+    are not idempotent; ``targets`` holds the arrived and the started
+    requests of every kind and target. The attributes ``service_ms``,
+    ``frozen`` and ``failing`` may be changed at any time; call ``thaw``
+    after clearing ``frozen``.
     """
 
     def __init__(
@@ -116,6 +117,7 @@
         self.serving: set[Work] = set()
         self.thawed: list[Deferred] = []
         self.runs: Counter[str] = Counter()
+        self.targets: dict[str, list[int]] = {}
         self.counts: Counter[str] = Counter()
         self.most_serving = 0
 
@@ -125,6 +127,7 @@
             self.counts["failed"] += 1
             return succeed(error_answer(500, "failing"))
         work = Work(request, Deferred(), self.clock.seconds())
+        self._target(work)[0] += 1
         self.queue.append(work)
         self._dispatch()
         return work.done
@@ -164,8 +167,13 @@
             work.running = self._run(work)
             work.running.addBoth(self._finish, work)
 
+    def _target(self, work: Work) -> list[int]:
+        name = f"{work.kind} {work.request.target}"
+        return self.targets.setdefault(name, [0, 0])
+
     def _record(self, work: Work):
         self.counts["started"] += 1
+        self._target(work)[1] += 1
         if self._table(work).idempotent:
             return
         request = work.request
--- /dev/null
+++ b/tests/test_figures.py
@@ -0,0 +1,86 @@
+"""Tests of the figures of the measurement."""
+
+from collections import Counter
+
+from testtools import TestCase
+
+from experiments.figures import figures_of
+from experiments.figures import Records
+from experiments.figures import recovery_seconds
+from experiments.figures import Timeline
+
+TIMELINE = Timeline(before=1.0, trigger=1.0, after=3.0)
+
+
+def series(*spans: tuple[int, int]) -> list[int]:
+    """Return values for spans of (buckets of 100 ms, value)."""
+    return [value for length, value in spans for _ in range(length)]
+
+
+class FiguresTest(TestCase):
+    """Guards against figures that hide a fault."""
+
+    def results(self, good, **changes) -> dict:
+        offered = {"critical": series((50, 2)), "normal": series((50, 8))}
+        return {
+            "offered": offered,
+            "good": good,
+            "goodput": good,
+            "not_run": [],
+            "kinds": {"a": {"wrong": 0}},
+            **changes,
+        }
+
+    def figures(self, results, targets=None, runs=None) -> dict:
+        return figures_of(
+            results,
+            Records(targets=targets or {"deep": {}}, runs=Counter(runs or {})),
+            timeline=TIMELINE,
+            capacity=50.0,
+            bottleneck="deep",
+        )
+
+    def test_goodput_is_compared_with_the_capacity_of_the_trigger(self):
+        good = {"critical": series((50, 2)), "normal": series((50, 2))}
+        found = self.figures(self.results(good))
+        self.assertEqual(0.8, found["goodput_ratio"])
+        self.assertEqual(1.0, found["important_success"])
+
+    def test_refused_critical_requests_lower_the_success(self):
+        good = {
+            "critical": series((10, 2), (10, 1), (30, 2)),
+            "normal": series((50, 8)),
+        }
+        self.assertEqual(
+            0.9, self.figures(self.results(good))["important_success"]
+        )
+
+    def test_recovery_counts_to_the_end_of_a_good_second(self):
+        good = {
+            "critical": series((50, 2)),
+            "normal": series((10, 8), (10, 0), (10, 0), (20, 8)),
+        }
+        # One of eleven buckets may be short of 5%: 0.6 of a bucket.
+        self.assertEqual(2.0, recovery_seconds(self.results(good), TIMELINE))
+
+    def test_recovery_is_missing_if_goodput_stays_low(self):
+        good = {
+            "critical": series((50, 2)),
+            "normal": series((10, 8), (40, 4)),
+        }
+        self.assertIsNone(recovery_seconds(self.results(good), TIMELINE))
+
+    def test_records_of_the_stand_ins(self):
+        good = {"critical": series((50, 2)), "normal": series((50, 8))}
+        targets = {
+            "front": {"root /1": [1, 1], "root /2": [1, 0]},
+            "deep": {"a /1": [2, 2], "b /1": [1, 0], "a /2": [1, 0]},
+        }
+        found = self.figures(
+            self.results(good, not_run=["/1", "/2", "/3"]),
+            targets=targets,
+            runs={"charge /1": 3, "charge /2": 1, "renew /1": 2},
+        )
+        self.assertEqual(3, found["attempts_per_root_max"])
+        self.assertEqual(3, found["duplicates"])
+        self.assertEqual(1, found["false_not_run"])
--- a/tests/test_standin_workload.py
+++ b/tests/test_standin_workload.py
@@ -203,6 +203,15 @@
         self.clock.advance(0.1)
         self.assertEqual([2, 1], sorted(self.workload.runs.values())[::-1])
 
+    def test_counts_arrivals_and_starts_of_every_target(self):
+        for target in ("/a", "/b", "/b"):
+            self.serve("x", target)
+        self.assertEqual(
+            {"x /a": [1, 1], "x /b": [2, 1]}, self.workload.targets
+        )
+        self.clock.advance(0.1)
+        self.assertEqual([2, 2], self.workload.targets["x /b"])
+
     def test_starts_and_answers_nothing_while_frozen(self):
         first = self.serve("x")
         self.workload.frozen = True
