Take the backlog as the sign of overload

Cause: the threshold followed the mean delay of the calls that left the queue, with a target of 20 ms at any service time. With 4 slots of 100 ms, random arrivals alone exceed that, so calls were refused while slots were empty; and each rise by 1/16 of the range let in more than twice the capacity at a demand of 10 times capacity, followed by a deep cut.

Ruled out: the generator (send lag p99 below 6 ms), the backend servers (the naive version reached 0.98 of capacity).

Change: the signal is the time that the queued calls need, the target is at least one own time, and a rise lets in a tenth of the completions at most.

Critical calls are still refused while the threshold undershoots, and recovery at 10 times is above 2 s.

--- a/flamingosail/admission.py
+++ b/flamingosail/admission.py
@@ -1,9 +1,11 @@
 """Admission control of one backend server by a priority threshold.
 
-After DAGOR (SoCC 2018): the queueing delay tells overload, and the threshold
-follows from a histogram of the priorities that arrive. Unlike DAGOR, which
-moves the threshold in fixed steps, one step reaches the level at which the
-arrivals match the completions.
+After DAGOR (SoCC 2018): queueing tells overload, and the threshold follows
+from a histogram of the priorities that arrive. Unlike DAGOR, which moves the
+threshold in fixed steps, one step reaches the level at which the arrivals
+match the completions. The signal is the time that the queued calls need, not
+the delay of those that leave: the queue serves important and new calls
+first, so these leave early however many others wait.
 """
 
 from twisted.internet.interfaces import IReactorTime
@@ -19,6 +21,9 @@
 WINDOW_DECAY = 0.7
 ADMITTED_SHARE = 0.95
 RISE_STEP = PRIORITY_RANGE // 16
+# A rise lets in at most this share of the completions in addition. At ten
+# times the capacity, a whole step would let in more than twice the capacity.
+RISE_SHARE = 0.1
 # A trickle of critical work always passes, so that recovery is noticed.
 LOWEST_THRESHOLD = 8
 
@@ -27,6 +32,8 @@
     """Holds the threshold; priorities below it are admitted.
 
     ``threshold`` is from LOWEST_THRESHOLD to 512, where 512 admits all.
+    ``queued`` is the number of calls that wait, ``service_seconds`` the time
+    of a call at the server and ``slots`` how many it serves at a time.
     """
 
     def __init__(
@@ -41,9 +48,10 @@
         self.window_start = clock.seconds()
         self.arrivals = [0.0] * PRIORITY_RANGE
         self.completions = 0.0
-        self.delay_sum = 0.0
         self.dispatches = 0
         self.queued = 0
+        self.service_seconds = 0.0
+        self.slots = 1.0
         self.refused = 0
 
     def admits(self, priority: int) -> bool:
@@ -55,9 +63,8 @@
         self.refused += 1
         return False
 
-    def dispatched(self, delay: float):
-        """Note that a call left the queue after ``delay`` seconds."""
-        self.delay_sum += delay
+    def dispatched(self):
+        """Note that a call left the queue."""
         self.dispatches += 1
 
     def completed(self):
@@ -71,24 +78,45 @@
         if elapsed < WINDOW_SECONDS:
             return
         self.window_start = now
-        delay = self.mean_delay(elapsed)
-        if delay > self.target_delay:
+        target = self.target()
+        backlog = self.backlog(elapsed)
+        if backlog > target:
             self.threshold = min(self.threshold, self.sustainable())
-        elif delay < self.target_delay / 2:
+        elif backlog < target / 2:
             steps = min(16, int(elapsed / WINDOW_SECONDS))
             self.threshold = min(
-                PRIORITY_RANGE, self.threshold + steps * RISE_STEP
+                PRIORITY_RANGE, self.threshold + steps * self.rise()
             )
         self.decay(elapsed)
 
-    def mean_delay(self, elapsed: float) -> float:
-        """Return the mean queueing delay of the window in seconds.
+    def target(self) -> float:
+        """Return the backlog in seconds above which calls are refused.
+
+        With less than one waiting call per slot, slots would stay empty
+        between arrivals, which come at random.
+        """
+        return max(self.target_delay, self.service_seconds)
+
+    def backlog(self, elapsed: float) -> float:
+        """Return the seconds that the server needs for the queued calls.
 
         A queue from which nothing left has waited the whole window.
         """
-        if self.dispatches:
-            return self.delay_sum / self.dispatches
-        return elapsed if self.queued else 0.0
+        needed = self.queued * self.service_seconds / self.slots
+        if self.queued and not self.dispatches:
+            return max(needed, elapsed)
+        return needed
+
+    def rise(self) -> int:
+        """Return by how much the threshold may rise in one window."""
+        below = self.arrivals[
+            max(0, self.threshold - RISE_STEP) : self.threshold
+        ]
+        per_priority = sum(below) / len(below)
+        if not per_priority:
+            return RISE_STEP
+        step = int(RISE_SHARE * self.completions / per_priority)
+        return max(1, min(RISE_STEP, step))
 
     def sustainable(self) -> int:
         """Return the largest threshold whose arrivals can be served."""
@@ -105,7 +133,6 @@
         factor = WINDOW_DECAY ** (elapsed / WINDOW_SECONDS)
         self.arrivals = [count * factor for count in self.arrivals]
         self.completions *= factor
-        self.delay_sum = 0.0
         self.dispatches = 0
 
     def dump(self) -> dict:
@@ -114,4 +141,5 @@
             "threshold": self.threshold,
             "refused": self.refused,
             "completions": round(self.completions, 1),
+            "backlog_ms": round(self.backlog(0.0) * 1000, 1),
         }
--- a/flamingosail/ingress.py
+++ b/flamingosail/ingress.py
@@ -244,11 +244,12 @@
                 break
             self.serve(work)
         self.admission.queued = len(self.queue)
+        self.admission.slots = max(1.0, self.limit.limit)
 
     def serve(self, work: Work):
         """Hand one call to the backend server."""
         now = self.clock.seconds()
-        self.admission.dispatched(now - work.enqueued)
+        self.admission.dispatched()
         self.limit.started()
         work.dispatched = now
         work.token = f"{self.random.getrandbits(TOKEN_BITS):x}"
@@ -283,6 +284,7 @@
         self.limit.finished(own_seconds=own, failed=refused)
         if not refused:
             self.admission.completed()
+            self.admission.service_seconds = self.limit.latency
             self.served += 1
         work.reply(self.completed(answer, work))
         work.cancel_children()
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,56 @@
+"""Tests of the admission threshold."""
+
+from testtools import TestCase
+from twisted.internet.task import Clock
+
+from flamingosail.admission import AdmissionControl
+from flamingosail.admission import RISE_STEP
+from flamingosail.priority import PRIORITY_RANGE
+
+
+class AdmissionTest(TestCase):
+    """Guards against empty slots and against a queue that grows."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.admission = AdmissionControl(clock=self.clock)
+        self.admission.service_seconds = 0.1
+        self.admission.slots = 4.0
+
+    def window(self, *, priorities=(), completions=0, queued=0):
+        """Let one window pass."""
+        for priority in priorities:
+            self.admission.admits(priority)
+        for _ in range(completions):
+            self.admission.dispatched()
+            self.admission.completed()
+        self.admission.queued = queued
+        self.clock.advance(0.101)
+        self.admission.advance()
+        return self.admission.threshold
+
+    def test_one_waiting_call_per_slot_is_no_overload(self):
+        every = range(0, PRIORITY_RANGE, 32)
+        threshold = self.window(priorities=every, completions=4, queued=4)
+        self.assertEqual(PRIORITY_RANGE, threshold)
+
+    def test_a_backlog_lowers_the_threshold_to_what_is_completed(self):
+        every = range(0, PRIORITY_RANGE, 32)
+        threshold = self.window(priorities=every, completions=4, queued=5)
+        self.assertEqual(3 * 32, threshold)
+
+    def test_a_server_that_completes_nothing_is_overloaded(self):
+        self.admission.service_seconds = 0.0
+        threshold = self.window(priorities=[0, 200, 300], queued=3)
+        self.assertLess(threshold, PRIORITY_RANGE)
+
+    def test_rises_by_a_tenth_of_the_completions_under_overload(self):
+        self.admission.threshold = 256
+        crowd = [*range(224, 256)] * 10
+        threshold = self.window(priorities=crowd, completions=40)
+        self.assertEqual(256 + 1, threshold)
+
+    def test_rises_by_whole_steps_if_little_arrives(self):
+        self.admission.threshold = 256
+        self.assertEqual(256 + RISE_STEP, self.window())
