Send work again to a server that has recovered

Cause: with two servers in a service, one that had failed got no call in 30 s after it had come back (process test). Only calls refresh the latency that the router has seen, and the cost kept all calls away. In the simulation 20 calls that were in flight when a server froze doubled its ejection from 1 s to 30 s within 1.5 s, and a trial call that was refused as overloaded left the server on trial for good.

Ruled out: the member record and the concurrency limit. The server was ready and cold as expected.

Change: the latency of a server without calls in flight halves each second; failures during an ejection do not prolong it; a refused trial is followed by another one a second later.

--- a/flamingosail/routing.py
+++ b/flamingosail/routing.py
@@ -29,6 +29,9 @@
 FIRST_EJECTION_SECONDS = 1.0
 MAX_EJECTION_SECONDS = 30.0
 RAMP_SECONDS = 10.0
+# Without this a server whose calls failed would look slow for ever once no
+# more calls go to it: only calls refresh its latency.
+LATENCY_HALF_LIFE_SECONDS = 1.0
 # A drain told by an answer counts until the member record has arrived; it is
 # flooded at once and repaired within two rounds of anti-entropy. An answer
 # that is late must not keep a server out that has come back.
@@ -49,6 +52,7 @@
     """What this node has seen of one server incarnation."""
 
     first_seen: float
+    last_seen: float
     distance: float
     in_flight: int = 0
     latency: float = INITIAL_LATENCY_SECONDS
@@ -133,8 +137,10 @@
         """Return the statistics of a server, new ones at first sight."""
         stats = self.stats.get(server.incarnation)
         if stats is None:
+            now = self.clock.seconds()
             stats = self.stats[server.incarnation] = ServerStats(
-                first_seen=self.clock.seconds(),
+                first_seen=now,
+                last_seen=now,
                 distance=self.distance(server),
             )
         return stats
@@ -150,9 +156,18 @@
     def cost(self, server: MemberRecord) -> float:
         """Return the expected cost of one more call, in seconds."""
         stats = self.stats_of(server)
-        load = (stats.in_flight + 1) * stats.latency / self.weight(stats)
+        latency = self.latency(stats)
+        load = (stats.in_flight + 1) * latency / self.weight(stats)
         return load + stats.distance
 
+    def latency(self, stats: ServerStats) -> float:
+        """Return the latency seen, which fades while no call is sent."""
+        idle = self.clock.seconds() - stats.last_seen
+        if stats.in_flight or stats.latency <= INITIAL_LATENCY_SECONDS:
+            return stats.latency
+        faded = stats.latency * 0.5 ** (idle / LATENCY_HALF_LIFE_SECONDS)
+        return max(INITIAL_LATENCY_SECONDS, faded)
+
     def weight(self, stats: ServerStats) -> float:
         """Return 0.1 to 1; a server that joined later ramps up."""
         if stats.first_seen - self.started < RAMP_SECONDS:
@@ -165,6 +180,8 @@
     def sent(self, server: MemberRecord):
         """Count a call that goes out to a server."""
         stats = self.stats_of(server)
+        stats.latency = self.latency(stats)
+        stats.last_seen = self.clock.seconds()
         stats.in_flight += 1
         if stats.ejected_until:
             stats.on_trial = True
@@ -186,11 +203,16 @@
         if stats is None:
             return
         stats.in_flight -= 1
+        stats.last_seen = self.clock.seconds()
         if failed or refused:
             seconds = max(seconds, FAILURE_LATENCY_SECONDS)
         stats.latency += LATENCY_SMOOTHING * (seconds - stats.latency)
         if not refused:
             self.note_outcome(stats, failed)
+        elif stats.on_trial:
+            # A refused trial says nothing; the next one decides.
+            stats.on_trial = False
+            stats.ejected_until = self.clock.seconds() + FIRST_EJECTION_SECONDS
 
     def note_outcome(self, stats: ServerStats, failed: bool):
         """Eject a server after failures, take it back after a success."""
@@ -212,7 +234,13 @@
             self.eject(stats)
 
     def eject(self, stats: ServerStats):
-        """Send a server nothing for a time that doubles each time."""
+        """Send a server nothing for a time that doubles each time.
+
+        Calls that were sent before the ejection and fail during it do not
+        prolong it: twenty of them would make it the longest at once.
+        """
+        if self.clock.seconds() < stats.ejected_until:
+            return
         stats.ejected_until = self.clock.seconds() + stats.ejection_seconds
         stats.ejection_seconds = min(
             MAX_EJECTION_SECONDS, stats.ejection_seconds * 2
--- a/tests/test_callpath.py
+++ b/tests/test_callpath.py
@@ -247,6 +247,19 @@
         good = [a for a in answers[500:] if a[0].succeeded]
         self.assertGreater(len(good), 490)
 
+    def test_server_that_answers_again_gets_work_again(self):
+        cluster = Cluster({"histbook": 1, "gatekeeper": 2}, seed=5)
+        frozen = cluster.nodes["gatekeeper-0"].backend
+        frozen.behaviour.silent = True
+        served = cluster.nodes["gatekeeper-0"].ingress
+        for tick in range(4000):
+            if tick == 1500:
+                frozen.behaviour.silent = False
+                frozen.active = 0
+            cluster.send("histbook-0", "gate-check", f"/{tick}")
+            cluster.advance(0.006, step=0.002)
+        self.assertGreater(served.served, 100)
+
     def test_overload_sheds_low_importance_first(self):
         cluster = Cluster({"histbook": 1, "gatekeeper": 1}, slots=2)
         cluster.nodes["gatekeeper-0"].backend.behaviour.seconds = 0.02
