Test failures around running nodes with real processes

Before: no test ran node processes. A signal that arrived while the services were being built raised AttributeError in the signal handler.

Platform.publish takes options.

--- a/experiments/processes.py
+++ b/experiments/processes.py
@@ -196,7 +196,7 @@
             for node in self.nodes.values()
         )
 
-    def publish(self, document: dict) -> dict:
+    def publish(self, document: dict, *options: str) -> dict:
         """Publish a manifest with the console script; return its report."""
         path = Path(self.directory.name, "manifest.json")
         path.write_text(json.dumps(document))
@@ -208,6 +208,7 @@
                 "--log",
                 f"http://127.0.0.1:{self.log_port}",
                 "--json",
+                *options,
                 "publish",
                 str(path),
             ],
--- a/flamingosail/nodecli.py
+++ b/flamingosail/nodecli.py
@@ -95,7 +95,8 @@
         daemon.lifecycle.stopped.addCallback(lambda _: reactor.stop())
 
     def on_signal(number, frame):
-        reactor.callFromThread(daemon.lifecycle.drain)
+        # The lifecycle may not exist yet while the daemon starts.
+        reactor.callFromThread(lambda: daemon.lifecycle.drain())
 
     def begin():
         for number in (signal.SIGTERM, signal.SIGINT):
