--- a/flamingosail/routing.py
+++ b/flamingosail/routing.py
@@ -210,9 +210,8 @@
         if not refused:
             self.note_outcome(stats, failed)
         elif stats.on_trial:
-            # A refused trial says nothing; the next one decides.
+            # A refused trial says nothing; the next call decides.
             stats.on_trial = False
-            stats.ejected_until = self.clock.seconds() + FIRST_EJECTION_SECONDS
 
     def given_up(self, server: MemberRecord):
         """Take in that nobody waits for a call any more.
