Answer requests that arrive while a node stops

Cause: in one of 4 runs of the process test a caller that connected to a node after SIGTERM lost its connection without an answer. By reading: the end of the grace closed all idle connections, also those opened a moment before, and the stop closed the ones whose request was still on its way.

Change: connections opened during a drain have a grace period of their own, and the caller listener waits up to 0.2 s at the stop for requests on open connections, which it refuses with an answer.

Requests sent while the listening socket closes may still get no answer.

--- a/flamingosail/callerhttp.py
+++ b/flamingosail/callerhttp.py
@@ -14,6 +14,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.protocol import Factory
+from twisted.internet.task import LoopingCall
 
 from flamingosail.errors import Refusal
 from flamingosail.errors import RefusalCode
@@ -34,6 +35,8 @@
 ]
 
 DRAIN_GRACE_SECONDS = 1.0
+# Callers that have just connected send their request within this time.
+LAST_REQUEST_SECONDS = 0.2
 RETRY_AFTER_SECONDS = 1
 MAX_BACKEND_KEY_CHARS = 128
 MAX_TIMEOUT_DIGITS = 9
@@ -117,13 +120,35 @@
         if self.draining:
             return
         self.draining = True
-        self.clock.callLater(self.grace, self.close_idle)
+        # Later connections have their own grace period.
+        self.clock.callLater(
+            self.grace, self.close_idle, tuple(self.connections)
+        )
 
-    def close_idle(self):
-        """Close the connections on which no request is in progress."""
-        for connection in list(self.connections):
+    def close_idle(self, connections):
+        """Close those of the connections that carry no request."""
+        for connection in connections:
             self.close_if_idle(connection)
 
+    def close_all(self) -> Deferred[None]:
+        """Wait until the last connections are closed.
+
+        A request that arrives now is still refused with an answer; those
+        that have no request after LAST_REQUEST_SECONDS are closed.
+        """
+        limit = self.clock.seconds() + LAST_REQUEST_SECONDS
+
+        def check():
+            if not self.connections or self.clock.seconds() >= limit:
+                poll.stop()
+
+        poll = LoopingCall(check)
+        poll.clock = self.clock
+        done = poll.start(LAST_REQUEST_SECONDS / 10)
+        return done.addCallback(
+            lambda _: self.close_idle(tuple(self.connections))
+        )
+
     def close_if_idle(self, connection: HttpServerProtocol):
         """Close a connection on which no request is in progress."""
         if not connection.busy:
--- a/flamingosail/daemon.py
+++ b/flamingosail/daemon.py
@@ -59,9 +59,12 @@
             backlog=1024,
         )
 
+    @inlineCallbacks
     def stop(self):
-        """Accept no more connections."""
-        return self.port.stopListening()
+        """Accept no more connections; answer those of callers that came."""
+        yield self.port.stopListening()
+        if self.listener.draining:
+            yield self.listener.close_all()
 
     def dump(self) -> dict:
         """Return the port and the state of its connections."""
--- a/tests/test_callpath.py
+++ b/tests/test_callpath.py
@@ -174,6 +174,28 @@
         self.assertEqual(Verdict.MAY_HAVE_RUN, refusal.verdict)
         self.assertIsNotNone(answers[0].key)
 
+    def test_closed_node_claims_not_run_only_for_unused_keys(self):
+        cluster = Cluster({"histbook": 2, "retire-svc": 1})
+        node = cluster.nodes["histbook-0"]
+        used, unused = node.entrance.issue_key(), node.entrance.issue_key()
+        foreign = cluster.nodes["histbook-1"].entrance.issue_key()
+        cluster.send("histbook-0", "retire", "/1", key=used)
+        cluster.advance(0.1)
+        node.entrance.closed = True
+        verdicts = {}
+        for key in (used, unused, foreign):
+            answers = cluster.send("histbook-0", "retire", "/1", key=key)
+            cluster.advance(0.1)
+            verdicts[key] = answers[0].verdict
+            if key != used:
+                self.assertEqual(
+                    RefusalCode.SHUTTING_DOWN, answers[0].refusal.code
+                )
+        self.assertEqual(Verdict.RAN, verdicts[used])
+        self.assertEqual(Verdict.NOT_RUN, verdicts[unused])
+        self.assertEqual(Verdict.MAY_HAVE_RUN, verdicts[foreign])
+        self.assertEqual(1, cluster.runs[("retire", "/1")])
+
     def test_call_to_a_hung_node_ends_at_its_deadline(self):
         cluster = Cluster({"histbook": 1, "retire-svc": 1})
         cluster.delay = lambda source, destination, message: (
