Do not refuse levels that are not overloaded

Cause: the threshold comes from the arrivals and completions of a few windows. Few of either are noisy: with 4 slots of 300 ms, a window sees one completion, and the threshold fell below 128, into the critical kinds, with no critical call waiting.

Change: the threshold stays above the levels whose queued calls, with the more important ones, need less than the target.

--- a/flamingosail/admission.py
+++ b/flamingosail/admission.py
@@ -10,6 +10,8 @@
 
 from twisted.internet.interfaces import IReactorTime
 
+from flamingosail.priority import PRIORITY_BUCKETS
+from flamingosail.priority import PRIORITY_LEVELS
 from flamingosail.priority import PRIORITY_RANGE
 
 __all__ = ["AdmissionControl"]
@@ -32,8 +34,9 @@
     """Holds the threshold; priorities below it are admitted.
 
     ``threshold`` is from LOWEST_THRESHOLD to 512, where 512 admits all.
-    ``queued`` is the number of calls that wait, ``service_seconds`` the time
-    of a call at the server and ``slots`` how many it serves at a time.
+    ``queued`` holds the number of calls that wait by importance,
+    ``service_seconds`` is the time of a call at the server and ``slots`` how
+    many it serves at a time.
     """
 
     def __init__(
@@ -49,7 +52,7 @@
         self.arrivals = [0.0] * PRIORITY_RANGE
         self.completions = 0.0
         self.dispatches = 0
-        self.queued = 0
+        self.queued = [0] * PRIORITY_LEVELS
         self.service_seconds = 0.0
         self.slots = 1.0
         self.refused = 0
@@ -81,7 +84,8 @@
         target = self.target()
         backlog = self.backlog(elapsed)
         if backlog > target:
-            self.threshold = min(self.threshold, self.sustainable())
+            lowest = max(self.overloaded_from(target), self.sustainable())
+            self.threshold = min(self.threshold, lowest)
         elif backlog < target / 2:
             steps = min(16, int(elapsed / WINDOW_SECONDS))
             self.threshold = min(
@@ -102,10 +106,28 @@
 
         A queue from which nothing left has waited the whole window.
         """
-        needed = self.queued * self.service_seconds / self.slots
-        if self.queued and not self.dispatches:
-            return max(needed, elapsed)
-        return needed
+        queued = sum(self.queued)
+        if queued and not self.dispatches:
+            return max(self.seconds_for(queued), elapsed)
+        return self.seconds_for(queued)
+
+    def seconds_for(self, calls: int) -> float:
+        """Return the seconds that the server needs for some calls."""
+        return calls * self.service_seconds / self.slots
+
+    def overloaded_from(self, target: float) -> int:
+        """Return the first priority of the level that is overloaded.
+
+        The queue serves the more important levels first, so that calls of
+        less important ones do not delay them. Without this bound, the
+        noise of few arrivals and completions refuses critical calls.
+        """
+        queued = 0
+        for level, calls in enumerate(self.queued):
+            queued += calls
+            if self.seconds_for(queued) > target:
+                return level * PRIORITY_BUCKETS
+        return 0
 
     def rise(self) -> int:
         """Return by how much the threshold may rise in one window."""
--- a/flamingosail/callqueue.py
+++ b/flamingosail/callqueue.py
@@ -53,6 +53,10 @@
     def __len__(self) -> int:
         return self.size
 
+    def lengths(self) -> list[int]:
+        """Return how many calls wait at each importance."""
+        return [len(level) for level in self.levels]
+
     def ahead_of(self, priority: int) -> int:
         """Return how many calls would be served before this priority."""
         level = importance_of(priority)
@@ -108,7 +112,7 @@
     def dump(self) -> dict:
         """Return lengths per level and the numbers of dropped calls."""
         return {
-            "queued": [len(level) for level in self.levels],
+            "queued": self.lengths(),
             "expired": self.expired,
             "displaced": self.displaced,
         }
--- a/flamingosail/ingress.py
+++ b/flamingosail/ingress.py
@@ -243,7 +243,7 @@
             if work is None:
                 break
             self.serve(work)
-        self.admission.queued = len(self.queue)
+        self.admission.queued = self.queue.lengths()
         self.admission.slots = max(1.0, self.limit.limit)
 
     def serve(self, work: Work):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -18,7 +18,7 @@
         self.admission.service_seconds = 0.1
         self.admission.slots = 4.0
 
-    def window(self, *, priorities=(), completions=0, queued=0):
+    def window(self, *, priorities=(), completions=0, queued=(0, 0, 0, 0)):
         """Let one window pass."""
         for priority in priorities:
             self.admission.admits(priority)
@@ -32,17 +32,28 @@
 
     def test_one_waiting_call_per_slot_is_no_overload(self):
         every = range(0, PRIORITY_RANGE, 32)
-        threshold = self.window(priorities=every, completions=4, queued=4)
+        threshold = self.window(
+            priorities=every, completions=4, queued=(1, 1, 1, 1)
+        )
         self.assertEqual(PRIORITY_RANGE, threshold)
 
     def test_a_backlog_lowers_the_threshold_to_what_is_completed(self):
         every = range(0, PRIORITY_RANGE, 32)
-        threshold = self.window(priorities=every, completions=4, queued=5)
+        threshold = self.window(
+            priorities=every, completions=4, queued=(5, 0, 0, 0)
+        )
         self.assertEqual(3 * 32, threshold)
 
+    def test_levels_that_do_not_wait_are_not_refused(self):
+        every = range(0, PRIORITY_RANGE, 32)
+        threshold = self.window(
+            priorities=every, completions=2, queued=(2, 0, 9, 0)
+        )
+        self.assertEqual(2 * 128, threshold)
+
     def test_a_server_that_completes_nothing_is_overloaded(self):
         self.admission.service_seconds = 0.0
-        threshold = self.window(priorities=[0, 200, 300], queued=3)
+        threshold = self.window(priorities=[0, 200, 300], queued=(1, 1, 1, 0))
         self.assertLess(threshold, PRIORITY_RANGE)
 
     def test_rises_by_a_tenth_of_the_completions_under_overload(self):
