Forget learnt pressure sooner

Cause: after an overload, first nodes went on refusing while the servers' thresholds were back at 512: each learnt threshold rises by a fifth of the distance per answer, so a kind with 10 answers/s at a node needs 2.5 s, and one without answers waited 1 s and rose over 2 s.

Ruled out: the thresholds of the servers (back at 512 within 0.8 s in a trial on a fake clock).

Change: rises are learnt with weight 0.4 instead of 0.2; a threshold is valid for 0.5 s and then rises over 1 s.

--- a/flamingosail/pressure.py
+++ b/flamingosail/pressure.py
@@ -13,10 +13,14 @@
 
 __all__ = ["PressureMap"]
 
-VALID_SECONDS = 1.0
-RECOVERY_SECONDS = 2.0
+# With 1 s and 2 s, requests were still refused more than 2 s after the end
+# of an overload of ten times the capacity.
+VALID_SECONDS = 0.5
+RECOVERY_SECONDS = 1.0
 # Several servers answer for one kind, each with its own threshold.
 SMOOTHING = 0.2
+# A kind with few answers would take seconds to forget at the same pace.
+RISE_SMOOTHING = 0.4
 # One refused call in this many passes, so that recovery is noticed even if
 # all calls of a kind are refused here.
 PROBE_INTERVAL_CALLS = 64
@@ -40,7 +44,8 @@
                 self.thresholds[kind] = (float(pressure), now)
             return
         current = self.threshold(kind)
-        smoothed = current + SMOOTHING * (pressure - current)
+        share = SMOOTHING if pressure < current else RISE_SMOOTHING
+        smoothed = current + share * (pressure - current)
         if smoothed > PRIORITY_RANGE - 1:
             del self.thresholds[kind]
         else:
