--- a/flamingosail/admission.py
+++ b/flamingosail/admission.py
@@ -8,17 +8,23 @@
 first, so these leave early however many others wait.
 """
 
+from math import exp
+
 from twisted.internet.interfaces import IReactorTime
 
+from flamingosail.priority import PRIORITY_BUCKETS
+from flamingosail.priority import PRIORITY_LEVELS
 from flamingosail.priority import PRIORITY_RANGE
 
 __all__ = ["AdmissionControl"]
 
 WINDOW_SECONDS = 0.1
 TARGET_DELAY_SECONDS = 0.020
-# Weight of the past in the histogram and the completion count; short windows
-# alone are too noisy for servers that complete few calls per window.
-WINDOW_DECAY = 0.7
+# Time constant of the histogram and of the completion count: short windows
+# alone are too noisy for servers that complete few calls per window. At
+# 100 ms per call and 4 slots, 0.28 s hold 11 completions.
+MEMORY_SECONDS = 0.28
+MEMORY_SERVICE_TIMES = 8
 ADMITTED_SHARE = 0.95
 RISE_STEP = PRIORITY_RANGE // 16
 # A rise lets in at most this share of the completions in addition. At ten
@@ -32,8 +38,9 @@
     """Holds the threshold; priorities below it are admitted.
 
     ``threshold`` is from LOWEST_THRESHOLD to 512, where 512 admits all.
-    ``queued`` is the number of calls that wait, ``service_seconds`` the time
-    of a call at the server and ``slots`` how many it serves at a time.
+    ``queued`` holds the number of calls that wait by importance,
+    ``service_seconds`` is the time of a call at the server and ``slots`` how
+    many it serves at a time.
     """
 
     def __init__(
@@ -49,7 +56,7 @@
         self.arrivals = [0.0] * PRIORITY_RANGE
         self.completions = 0.0
         self.dispatches = 0
-        self.queued = 0
+        self.queued = [0] * PRIORITY_LEVELS
         self.service_seconds = 0.0
         self.slots = 1.0
         self.refused = 0
@@ -81,7 +88,8 @@
         target = self.target()
         backlog = self.backlog(elapsed)
         if backlog > target:
-            self.threshold = min(self.threshold, self.sustainable())
+            lowest = max(self.overloaded_from(target), self.sustainable())
+            self.threshold = min(self.threshold, lowest)
         elif backlog < target / 2:
             steps = min(16, int(elapsed / WINDOW_SECONDS))
             self.threshold = min(
@@ -102,10 +110,28 @@
 
         A queue from which nothing left has waited the whole window.
         """
-        needed = self.queued * self.service_seconds / self.slots
-        if self.queued and not self.dispatches:
-            return max(needed, elapsed)
-        return needed
+        queued = sum(self.queued)
+        if queued and not self.dispatches:
+            return max(self.seconds_for(queued), elapsed)
+        return self.seconds_for(queued)
+
+    def seconds_for(self, calls: int) -> float:
+        """Return the seconds that the server needs for some calls."""
+        return calls * self.service_seconds / self.slots
+
+    def overloaded_from(self, target: float) -> int:
+        """Return the first priority of the level that is overloaded.
+
+        The queue serves the more important levels first, so that calls of
+        less important ones do not delay them. Without this bound, the
+        noise of few arrivals and completions refuses critical calls.
+        """
+        queued = 0
+        for level, calls in enumerate(self.queued):
+            queued += calls
+            if self.seconds_for(queued) > target:
+                return level * PRIORITY_BUCKETS
+        return 0
 
     def rise(self) -> int:
         """Return by how much the threshold may rise in one window."""
@@ -130,7 +156,10 @@
 
     def decay(self, elapsed: float):
         """Age the counts by the time that has passed."""
-        factor = WINDOW_DECAY ** (elapsed / WINDOW_SECONDS)
+        memory = max(
+            MEMORY_SECONDS, MEMORY_SERVICE_TIMES * self.service_seconds
+        )
+        factor = exp(-elapsed / memory)
         self.arrivals = [count * factor for count in self.arrivals]
         self.completions *= factor
         self.dispatches = 0
