--- /dev/null
+++ b/flamingosail/childcalls.py
@@ -0,0 +1,214 @@
+"""Calls that the node's own backend server makes."""
+
+from twisted.internet.defer import Deferred
+
+from flamingosail.allowance import Allowance
+from flamingosail.context import CallContext
+from flamingosail.context import MAX_DEPTH
+from flamingosail.entry import end_request
+from flamingosail.entry import Entry
+from flamingosail.entry import fired
+from flamingosail.entry import RequestEnded
+from flamingosail.errors import RefusalCode
+from flamingosail.ingress import Ingress
+from flamingosail.ingress import Work
+from flamingosail.keys import KeyEntry
+from flamingosail.keys import KeyState
+from flamingosail.manifest import KindSpec
+from flamingosail.priority import LOWEST_PRIORITY
+from flamingosail.request import Answer
+from flamingosail.request import refuse
+from flamingosail.request import Request
+from flamingosail.verdict import Verdict
+
+__all__ = ["ChildCalls"]
+
+
+class ChildCalls(Entry):
+    """Makes calls below the requests that the backend server works on.
+
+    A child call inherits priority, deadline and allowance of its parent.
+    """
+
+    name = "children"
+
+    def __init__(self, *, ingress: Ingress, **shared):
+        super().__init__(**shared)
+        self.ingress = ingress
+
+    def submit(self, request: Request, token: str | None) -> Deferred[Answer]:
+        """Carry a call that the own backend server makes.
+
+        ``token`` is the context of the request it serves; without one the
+        call has the lowest priority and no retries. A request that has
+        ended has given its allowance back, so its server may make no calls
+        for it.
+        """
+        try:
+            kind = self.kind_of(request)
+            if not token:
+                return self.call_orphan(request, kind)
+            parent = self.ingress.serving.get(token)
+            if parent is None:
+                end_request(
+                    RefusalCode.NOT_ALLOWED,
+                    "the request that the call belongs to has ended",
+                )
+            return self.call_child(request, kind, parent)
+        except RequestEnded as ended:
+            return fired(ended.answer)
+
+    def call_orphan(
+        self, request: Request, kind: KindSpec
+    ) -> Deferred[Answer]:
+        """Carry a call that belongs to no request under way."""
+        if kind.key_required:
+            end_request(
+                RefusalCode.NOT_ALLOWED,
+                f"kind {kind.name} needs the context of a request",
+            )
+        root = self.new_root()
+        context = CallContext(
+            root=root,
+            root_address=self.transport.address,
+            priority=LOWEST_PRIORITY,
+            deadline=self.clock.seconds() + self.timeout(request, kind),
+            allowance=Allowance(kind.max_calls),
+            depth=1,
+            idempotent=kind.idempotent,
+        )
+        return self.egress.call(request=request, kind=kind, context=context)
+
+    def call_child(
+        self, request: Request, kind: KindSpec, parent: Work
+    ) -> Deferred[Answer]:
+        """Carry a call below the request that the server works on."""
+        if parent.context.depth >= MAX_DEPTH:
+            end_request(
+                RefusalCode.NOT_ALLOWED, f"deeper than {MAX_DEPTH} calls"
+            )
+        if kind.idempotent:
+            return self.call_repeatable(request, kind, parent)
+        if parent.context.idempotent:
+            end_request(
+                RefusalCode.NOT_ALLOWED,
+                "an idempotent request may run again, so it cannot call "
+                f"{kind.name}, which is not idempotent",
+            )
+        if request.key is None:
+            end_request(
+                RefusalCode.KEY_REQUIRED,
+                f"kind {kind.name} needs an Idempotency-Key",
+            )
+        return self.call_once(request, kind, parent)
+
+    def call_repeatable(
+        self, request: Request, kind: KindSpec, parent: Work
+    ) -> Deferred[Answer]:
+        """Carry an idempotent child call; a repeat needs a retry."""
+        if request.digest() not in parent.failed_digests:
+            return self.run_child(request, kind, parent)
+        child: Deferred[Answer] | None = None
+
+        def cancel(deferred: Deferred[Answer]):
+            if child is not None:
+                child.cancel()
+                return
+            done.callback(
+                refuse(
+                    RefusalCode.CANCELLED,
+                    Verdict.NOT_RUN,
+                    "nobody waits for the answer",
+                )
+            )
+
+        done: Deferred[Answer] = Deferred(cancel)
+
+        def decide(granted: bool):
+            nonlocal child
+            if done.called:
+                return
+            if granted and parent.token in self.ingress.serving:
+                child = self.run_child(request, kind, parent)
+                child.chainDeferred(done)
+                return
+            done.callback(
+                refuse(
+                    RefusalCode.ATTEMPTS_EXHAUSTED,
+                    Verdict.NOT_RUN,
+                    "the request has ended or has used up its retries",
+                )
+            )
+
+        self.retries.ask(
+            parent.context.root_address, parent.context.root, decide
+        )
+        return done
+
+    def call_once(
+        self, request: Request, kind: KindSpec, parent: Work
+    ) -> Deferred[Answer]:
+        """Carry a child call that must not run twice."""
+        digest = request.digest()
+        entry = parent.child_keys.get(request.key)
+        if entry is None:
+            entry = parent.child_keys[request.key] = KeyEntry(
+                root=parent.context.root, digest=digest
+            )
+        if entry.digest != digest:
+            end_request(
+                RefusalCode.KEY_REUSED, "the key belongs to another request"
+            )
+        if entry.state is KeyState.ANSWERED:
+            return fired(entry.answer)
+        done = self.join(entry, self.timeout(request, kind))
+        if entry.state is KeyState.FRESH:
+            entry.begin()
+            child = self.call_repeatable(request, kind, parent)
+            child.addCallback(entry.finish)
+        return done
+
+    def run_child(
+        self, request: Request, kind: KindSpec, parent: Work
+    ) -> Deferred[Answer]:
+        """Make a call on the allowance of its parent."""
+        now = self.clock.seconds()
+        kept, lent = parent.allowance.lend()
+        parent.allowance = kept
+        parent.child_started(now)
+        context = parent.context
+        done = self.egress.call(
+            request=request,
+            kind=kind,
+            context=CallContext(
+                root=context.root,
+                root_address=context.root_address,
+                priority=context.priority,
+                deadline=min(
+                    context.deadline, now + self.timeout(request, kind)
+                ),
+                allowance=lent,
+                depth=context.depth + 1,
+                idempotent=kind.idempotent,
+            ),
+        )
+        if kind.idempotent:
+            parent.child_calls.add(done)
+        done.addCallback(self.on_child_ended, done, request, parent)
+        return done
+
+    def on_child_ended(
+        self,
+        answer: Answer,
+        done: Deferred[Answer],
+        request: Request,
+        parent: Work,
+    ) -> Answer:
+        """Give the parent back what its child call left over."""
+        parent.child_calls.discard(done)
+        parent.allowance = parent.allowance.add(answer.allowance)
+        parent.pressure = min(parent.pressure, answer.pressure)
+        parent.child_finished(self.clock.seconds())
+        if not answer.succeeded:
+            parent.failed_digests.add(request.digest())
+        return answer
--- a/flamingosail/entrance.py
+++ b/flamingosail/entrance.py
@@ -1,22 +1,19 @@
-"""Where requests enter: from callers and from the own backend server."""
-
-from random import Random
+"""Where the requests of callers become roots."""
 
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorTime
 
 from flamingosail.allowance import Allowance
-from flamingosail.allowance import NO_ALLOWANCE
+from flamingosail.childcalls import ChildCalls
 from flamingosail.context import CallContext
-from flamingosail.context import MAX_DEPTH
-from flamingosail.egress import Egress
+from flamingosail.entry import end_request
+from flamingosail.entry import Entry
+from flamingosail.entry import fired
+from flamingosail.entry import RequestEnded
 from flamingosail.errors import RefusalCode
 from flamingosail.errors import SendFailed
 from flamingosail.exchange import answer_message
 from flamingosail.exchange import Exchange
 from flamingosail.ingress import Ingress
-from flamingosail.ingress import Work
-from flamingosail.kernel import Service
 from flamingosail.keys import InvalidKey
 from flamingosail.keys import Key
 from flamingosail.keys import KeyEntry
@@ -24,29 +21,16 @@
 from flamingosail.keys import KeyTable
 from flamingosail.manifest import KindSpec
 from flamingosail.messages import Forward
-from flamingosail.priority import LOWEST_PRIORITY
 from flamingosail.priority import root_priority
 from flamingosail.request import Answer
 from flamingosail.request import refuse
 from flamingosail.request import Request
-from flamingosail.retrypool import RetryPool
-from flamingosail.transport import Transport
 from flamingosail.verdict import Verdict
 
-__all__ = ["Entrance", "RequestEnded"]
-
-ROOT_BITS = 64
-
+__all__ = ["Entrance"]
 
-class RequestEnded(Exception):
-    """Carries the answer of a request that ends before it becomes a call."""
 
-    def __init__(self, answer: Answer):
-        super().__init__(answer.refusal)
-        self.answer = answer
-
-
-class Entrance(Service):
+class Entrance(Entry):
     """Makes roots of callers' requests and children of own calls."""
 
     name = "entrance"
@@ -54,33 +38,22 @@
     def __init__(
         self,
         *,
-        clock: IReactorTime,
-        random: Random,
-        transport: Transport,
-        incarnation: str,
-        manifest,
         members,
         exchange: Exchange,
         keys: KeyTable,
-        retries: RetryPool,
-        egress: Egress,
         ingress: Ingress,
+        children: ChildCalls,
+        **shared,
     ):
-        self.clock = clock
-        self.random = random
-        self.transport = transport
-        self.incarnation = incarnation
-        self.manifest = manifest
+        super().__init__(**shared)
         self.members = members
         self.exchange = exchange
         self.keys = keys
-        self.retries = retries
-        self.egress = egress
         self.ingress = ingress
+        self.children = children
         self.closed = False
-        self.in_flight = 0
         self.requests = 0
-        transport.listen(Forward, self.on_forward)
+        self.transport.listen(Forward, self.on_forward)
 
     def issue_key(self) -> str:
         """Return a fresh idempotency key of this node."""
@@ -109,29 +82,6 @@
             end_request(RefusalCode.SHUTTING_DOWN, "the node is shutting down")
         return self.kind_of(request)
 
-    def kind_of(self, request: Request) -> KindSpec:
-        """Return the kind of a request.
-
-        :raises RequestEnded: if there is no manifest or no such kind.
-        """
-        manifest = self.manifest.current
-        if manifest is None:
-            end_request(RefusalCode.NO_MANIFEST, "no manifest is in force yet")
-        kind = manifest.kinds.get(request.kind)
-        if kind is None:
-            end_request(
-                RefusalCode.UNKNOWN_KIND,
-                f"kind {request.kind!r} is not in the manifest",
-            )
-        return kind
-
-    def timeout(self, request: Request, kind: KindSpec) -> float:
-        """Return the seconds a request may take."""
-        wanted = request.timeout_ms
-        if wanted is None:
-            return kind.timeout_ms / 1000
-        return min(wanted, kind.timeout_ms) / 1000
-
     # Requests without a key
 
     def submit_without_key(
@@ -144,7 +94,7 @@
                 f"kind {kind.name} needs an Idempotency-Key issued by a node",
                 key=self.issue_key(),
             )
-        root = f"{self.incarnation}.{self.random.getrandbits(ROOT_BITS):x}"
+        root = self.new_root()
         self.retries.open(root, kind.max_retries)
         done = self.call_root(request, kind, root, Allowance(kind.max_calls))
         done.addCallback(self.close_root, root)
@@ -274,41 +224,6 @@
         entry.call = self.call_root(request, kind, entry.root, entry.allowance)
         entry.call.addCallback(self.keys.finish, entry)
 
-    def join(self, entry: KeyEntry, seconds: float | None) -> Deferred[Answer]:
-        """Wait for the end of a run, at most for ``seconds``.
-
-        A run that is not idempotent goes on when nobody waits any more:
-        its answer is kept for a repeat of the key.
-        """
-        timer = None
-
-        def end(answer: Answer):
-            if timer is not None and timer.active():
-                timer.cancel()
-            done.callback(answer)
-
-        def leave(code: RefusalCode, detail: str):
-            entry.waiters.remove(end)
-            if entry.idempotent and not entry.waiters and entry.call:
-                entry.call.cancel()
-            end(refuse(code, Verdict.MAY_HAVE_RUN, detail))
-
-        done: Deferred[Answer] = Deferred(
-            lambda deferred: leave(
-                RefusalCode.CANCELLED, "nobody waits for the answer"
-            )
-        )
-        if seconds is not None and entry.state is KeyState.RUNNING:
-            # The run has the deadline of the request that started it.
-            timer = self.clock.callLater(
-                seconds,
-                leave,
-                RefusalCode.DEADLINE_EXCEEDED,
-                "the deadline has passed",
-            )
-        entry.waiters.append(end)
-        return done
-
     def forward(
         self, key: Key, request: Request, kind: KindSpec
     ) -> Deferred[Answer]:
@@ -407,210 +322,12 @@
             # The caller repeats the key and then gets the stored answer.
             return
 
-    # Calls of the own backend server
-
     def submit_child(
         self, request: Request, token: str | None
     ) -> Deferred[Answer]:
-        """Carry a call that the own backend server makes.
-
-        ``token`` is the context of the request it serves; without one the
-        call has the lowest priority and no retries. A request that has
-        ended has given its allowance back, so its server may make no calls
-        for it.
-        """
-        try:
-            kind = self.kind_of(request)
-            if not token:
-                return self.call_orphan(request, kind)
-            parent = self.ingress.serving.get(token)
-            if parent is None:
-                end_request(
-                    RefusalCode.NOT_ALLOWED,
-                    "the request that the call belongs to has ended",
-                )
-            return self.call_child(request, kind, parent)
-        except RequestEnded as ended:
-            return fired(ended.answer)
-
-    def call_orphan(
-        self, request: Request, kind: KindSpec
-    ) -> Deferred[Answer]:
-        """Carry a call that belongs to no request under way."""
-        if kind.key_required:
-            end_request(
-                RefusalCode.NOT_ALLOWED,
-                f"kind {kind.name} needs the context of a request",
-            )
-        root = f"{self.incarnation}.{self.random.getrandbits(ROOT_BITS):x}"
-        context = CallContext(
-            root=root,
-            root_address=self.transport.address,
-            priority=LOWEST_PRIORITY,
-            deadline=self.clock.seconds() + self.timeout(request, kind),
-            allowance=Allowance(kind.max_calls),
-            depth=1,
-            idempotent=kind.idempotent,
-        )
-        return self.egress.call(request=request, kind=kind, context=context)
-
-    def call_child(
-        self, request: Request, kind: KindSpec, parent: Work
-    ) -> Deferred[Answer]:
-        """Carry a call below the request that the server works on."""
-        if parent.context.depth >= MAX_DEPTH:
-            end_request(
-                RefusalCode.NOT_ALLOWED, f"deeper than {MAX_DEPTH} calls"
-            )
-        if kind.idempotent:
-            return self.call_repeatable(request, kind, parent)
-        if parent.context.idempotent:
-            end_request(
-                RefusalCode.NOT_ALLOWED,
-                "an idempotent request may run again, so it cannot call "
-                f"{kind.name}, which is not idempotent",
-            )
-        if request.key is None:
-            end_request(
-                RefusalCode.KEY_REQUIRED,
-                f"kind {kind.name} needs an Idempotency-Key",
-            )
-        return self.call_once(request, kind, parent)
-
-    def call_repeatable(
-        self, request: Request, kind: KindSpec, parent: Work
-    ) -> Deferred[Answer]:
-        """Carry an idempotent child call; a repeat needs a retry."""
-        if request.digest() not in parent.failed_digests:
-            return self.run_child(request, kind, parent)
-        child: Deferred[Answer] | None = None
-
-        def cancel(deferred: Deferred[Answer]):
-            if child is not None:
-                child.cancel()
-                return
-            done.callback(
-                refuse(
-                    RefusalCode.CANCELLED,
-                    Verdict.NOT_RUN,
-                    "nobody waits for the answer",
-                )
-            )
-
-        done: Deferred[Answer] = Deferred(cancel)
-
-        def decide(granted: bool):
-            nonlocal child
-            if done.called:
-                return
-            if granted and parent.token in self.ingress.serving:
-                child = self.run_child(request, kind, parent)
-                child.chainDeferred(done)
-                return
-            done.callback(
-                refuse(
-                    RefusalCode.ATTEMPTS_EXHAUSTED,
-                    Verdict.NOT_RUN,
-                    "the request has ended or has used up its retries",
-                )
-            )
-
-        self.retries.ask(
-            parent.context.root_address, parent.context.root, decide
-        )
-        return done
-
-    def call_once(
-        self, request: Request, kind: KindSpec, parent: Work
-    ) -> Deferred[Answer]:
-        """Carry a child call that must not run twice."""
-        digest = request.digest()
-        entry = parent.child_keys.get(request.key)
-        if entry is None:
-            entry = parent.child_keys[request.key] = KeyEntry(
-                root=parent.context.root, digest=digest
-            )
-        if entry.digest != digest:
-            end_request(
-                RefusalCode.KEY_REUSED, "the key belongs to another request"
-            )
-        if entry.state is KeyState.ANSWERED:
-            return fired(entry.answer)
-        done = self.join(entry, self.timeout(request, kind))
-        if entry.state is KeyState.FRESH:
-            entry.begin()
-            child = self.call_repeatable(request, kind, parent)
-            child.addCallback(entry.finish)
-        return done
-
-    def run_child(
-        self, request: Request, kind: KindSpec, parent: Work
-    ) -> Deferred[Answer]:
-        """Make a call on the allowance of its parent."""
-        now = self.clock.seconds()
-        kept, lent = parent.allowance.lend()
-        parent.allowance = kept
-        parent.child_started(now)
-        context = parent.context
-        done = self.egress.call(
-            request=request,
-            kind=kind,
-            context=CallContext(
-                root=context.root,
-                root_address=context.root_address,
-                priority=context.priority,
-                deadline=min(
-                    context.deadline, now + self.timeout(request, kind)
-                ),
-                allowance=lent,
-                depth=context.depth + 1,
-                idempotent=kind.idempotent,
-            ),
-        )
-        if kind.idempotent:
-            parent.child_calls.add(done)
-        done.addCallback(self.on_child_ended, done, request, parent)
-        return done
-
-    def on_child_ended(
-        self,
-        answer: Answer,
-        done: Deferred[Answer],
-        request: Request,
-        parent: Work,
-    ) -> Answer:
-        """Give the parent back what its child call left over."""
-        parent.child_calls.discard(done)
-        parent.allowance = parent.allowance.add(answer.allowance)
-        parent.pressure = min(parent.pressure, answer.pressure)
-        parent.child_finished(self.clock.seconds())
-        if not answer.succeeded:
-            parent.failed_digests.add(request.digest())
-        return answer
+        """Carry a call of the own backend server; see ChildCalls."""
+        return self.children.submit(request, token)
 
     def dump(self) -> dict:
         """Return counts of requests."""
         return {"requests": self.requests, "closed": self.closed}
-
-
-def end_request(
-    code: RefusalCode,
-    detail: str,
-    *,
-    verdict: Verdict = Verdict.NOT_RUN,
-    key: str | None = None,
-):
-    """Refuse a request.
-
-    :raises RequestEnded: always.
-    """
-    raise RequestEnded(
-        refuse(code, verdict, detail, allowance=NO_ALLOWANCE, key=key)
-    )
-
-
-def fired(answer: Answer) -> Deferred[Answer]:
-    """Return a Deferred that has fired with an answer."""
-    done: Deferred[Answer] = Deferred()
-    done.callback(answer)
-    return done
--- a/flamingosail/node.py
+++ b/flamingosail/node.py
@@ -12,6 +12,7 @@
 from flamingosail.backend import Announcement
 from flamingosail.backend import Backend
 from flamingosail.backendwatch import BackendWatch
+from flamingosail.childcalls import ChildCalls
 from flamingosail.egress import Egress
 from flamingosail.entrance import Entrance
 from flamingosail.exchange import Exchange
@@ -121,19 +122,24 @@
             ingress=ingress,
         )
     )
+    shared = {
+        "clock": clock,
+        "random": random,
+        "transport": transport,
+        "incarnation": incarnation,
+        "manifest": manifest,
+        "retries": retries,
+        "egress": egress,
+    }
+    children = kernel.add(ChildCalls(ingress=ingress, **shared))
     return kernel.add(
         Entrance(
-            clock=clock,
-            random=random,
-            transport=transport,
-            incarnation=incarnation,
-            manifest=manifest,
             members=members,
             exchange=exchange,
             keys=keys,
-            retries=retries,
-            egress=egress,
             ingress=ingress,
+            children=children,
+            **shared,
         )
     )
 
--- a/tests/faultycluster.py
+++ b/tests/faultycluster.py
@@ -13,9 +13,9 @@
 from twisted.internet.task import Clock
 
 from flamingosail.backend import Backend
+from flamingosail.childcalls import ChildCalls
 from flamingosail.codec import encode
 from flamingosail.egress import Attempt
-from flamingosail.entrance import Entrance
 from flamingosail.errors import SendFailed
 from flamingosail.node import add_call_path
 from flamingosail.request import Answer
@@ -350,7 +350,7 @@
     def counting(self):
         """Count the attempts of each root and those beyond the first."""
         start = Attempt.start
-        run_child = Entrance.run_child
+        run_child = ChildCalls.run_child
         begun = set()
 
         def counted_start(attempt):
@@ -360,13 +360,13 @@
             begun.add(attempt.call)
             start(attempt)
 
-        def counted_child(entrance, request, kind, parent):
+        def counted_child(children, request, kind, parent):
             if request.digest() in parent.failed_digests:
                 self.repeated[parent.context.root] += 1
-            return run_child(entrance, request, kind, parent)
+            return run_child(children, request, kind, parent)
 
         with (
             patch.object(Attempt, "start", counted_start),
-            patch.object(Entrance, "run_child", counted_child),
+            patch.object(ChildCalls, "run_child", counted_child),
         ):
             yield
