--- a/flamingosail/attempt.py
+++ b/flamingosail/attempt.py
@@ -20,7 +20,7 @@
 
 
 class Attempt:
-    """One attempt at one server; ``call`` is the OutgoingCall it belongs to."""
+    """One attempt of ``call``, an OutgoingCall, at one server."""
 
     def __init__(self, *, call, server: MemberRecord, lent: Allowance):
         self.call = call
