--- a/flamingosail/ingress.py
+++ b/flamingosail/ingress.py
@@ -149,7 +149,7 @@
             self.refuse(
                 work, RefusalCode.NO_SERVER, "the backend server is gone"
             )
-        self.admission.queued = 0
+        self.admission.queued = self.queue.lengths()
 
     def on_call(self, message: Call):
         """Take a call from another node."""
--- a/tests/test_callpath.py
+++ b/tests/test_callpath.py
@@ -282,6 +282,18 @@
             cluster.advance(0.006, step=0.002)
         self.assertGreater(served.served, 100)
 
+    def test_a_server_that_was_lost_serves_again(self):
+        # Guards against state that the loss leaves in the admission.
+        cluster = Cluster({"histbook": 1, "gatekeeper": 1})
+        ingress = cluster.nodes["gatekeeper-0"].ingress
+        ingress.lose_server()
+        cluster.advance(0.5)
+        ingress.announce(ingress.announcement)
+        for _ in range(3):
+            answers = cluster.send("histbook-0", "gate-check")
+            cluster.advance(0.2)
+            self.assertTrue(answers[0].succeeded, answers)
+
     def test_overload_sheds_low_importance_first(self):
         cluster = Cluster({"histbook": 1, "gatekeeper": 1}, slots=2)
         cluster.nodes["gatekeeper-0"].backend.behaviour.seconds = 0.02
