Count the time that a node was frozen against calls it then reads

Cause: the remaining time of a call started when the node read it, so a call that had waited in the socket of a frozen node got a fresh deadline on waking and could run after its sender had given up.

Ruled out: a send time in the message, since clocks of VMs differ. A fresh call in that time may be refused as not run, and is then tried elsewhere.

--- a/flamingosail/ingress.py
+++ b/flamingosail/ingress.py
@@ -22,6 +22,7 @@
 from flamingosail.limit import ConcurrencyLimit
 from flamingosail.messages import Call
 from flamingosail.messages import Cancel
+from flamingosail.pause import PauseMonitor
 from flamingosail.priority import PRIORITY_RANGE
 from flamingosail.replay import ReplayWindow
 from flamingosail.request import Answer
@@ -106,6 +107,7 @@
         admission: AdmissionControl,
         limit: ConcurrencyLimit,
         replay: ReplayWindow,
+        pause: PauseMonitor,
     ):
         self.clock = clock
         self.random = random
@@ -116,6 +118,7 @@
         self.admission = admission
         self.limit = limit
         self.replay = replay
+        self.pause = pause
         self.queue = CallQueue(clock=clock, on_drop=self.on_drop)
         self.announcement: Announcement | None = None
         self.draining = False
@@ -171,11 +174,12 @@
 
     def work_of(self, message: Call, call: tuple[str, int]) -> Work:
         """Return the work that a message asks for."""
+        remaining = message.remaining_ms / 1000 - self.pause.waited()
         context = CallContext(
             root=message.root,
             root_address=message.root_address,
             priority=min(max(message.priority, 0), PRIORITY_RANGE - 1),
-            deadline=self.clock.seconds() + message.remaining_ms / 1000,
+            deadline=self.clock.seconds() + remaining,
             allowance=Allowance(max(message.calls, 0)),
             depth=message.depth,
             idempotent=message.idempotent,
@@ -230,10 +234,14 @@
             )
             self.refuse(work, code, "no backend server takes calls here")
             return
+        remaining = work.deadline - self.clock.seconds()
+        if remaining <= 0:
+            self.refuse(work, RefusalCode.DEADLINE_EXCEEDED, "arrived late")
+            return
         if not self.admission.admits(work.priority):
             self.refuse(work, RefusalCode.OVERLOADED, "priority refused")
             return
-        if self.expected_wait(work) > work.deadline - self.clock.seconds():
+        if self.expected_wait(work) > remaining:
             self.refuse(work, RefusalCode.OVERLOADED, "wait exceeds deadline")
             return
         if not self.queue.push(work):
--- a/flamingosail/node.py
+++ b/flamingosail/node.py
@@ -26,6 +26,7 @@
 from flamingosail.manifestservice import ManifestService
 from flamingosail.membership import MemberTable
 from flamingosail.messages import MemberRecord
+from flamingosail.pause import PauseMonitor
 from flamingosail.pressure import PressureMap
 from flamingosail.replay import ReplayWindow
 from flamingosail.retrypool import RetryPool
@@ -107,6 +108,7 @@
             admission=AdmissionControl(clock=clock, target_delay=target_delay),
             limit=ConcurrencyLimit(clock=clock),
             replay=ReplayWindow(),
+            pause=kernel.add(PauseMonitor(clock=clock)),
         )
     )
     egress = kernel.add(
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -249,6 +249,7 @@
             clock=self.clock, delay=lambda *args: self.delay(*args)
         )
         self.nodes: dict[str, FakeNode] = {}
+        self.kernels: list[Kernel] = []
         for service, number in servers.items():
             for index in range(number):
                 self.add_node(f"{service}-{index}", service)
@@ -284,6 +285,7 @@
             manifest=self.manifest,
         )
         kernel.start()
+        self.kernels.append(kernel)
         node = FakeNode(record=record, kernel=kernel, backend=backend)
         kernel.get("ingress").announce(
             Announcement(
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -363,6 +363,8 @@
             }
             left = {what: table for what, table in tables.items() if table}
             assert not left, f"{name}: {left}"
+        for kernel in self.cluster.kernels:
+            kernel.get("pause").stop()
         calls = self.cluster.clock.getDelayedCalls()
         assert not calls, f"delayed calls: {calls}"
 
