--- a/flamingosail/admission.py
+++ b/flamingosail/admission.py
@@ -33,9 +33,6 @@
 # With a target of one call per slot, goodput of 4 slots of 100 ms was 0.91 to
 # 0.97 of capacity under overload; with two it was 0.975 to 0.99.
 BACKLOG_CALLS = 2
-# Above this backlog one call per slot must do: calls that wait longer miss
-# their deadlines further up the chain.
-LONG_BACKLOG_SECONDS = 0.2
 # Rises double while the queue stays short, so that the time to recover does
 # not depend on how much was refused.
 MAX_DOUBLINGS = 5
@@ -115,9 +112,7 @@
         With fewer than BACKLOG_CALLS waiting calls per slot, slots stay
         empty between arrivals, which come at random.
         """
-        own = self.service_seconds
-        wanted = min(BACKLOG_CALLS * own, max(own, LONG_BACKLOG_SECONDS))
-        return max(self.target_delay, wanted)
+        return max(self.target_delay, BACKLOG_CALLS * self.service_seconds)
 
     def backlog(self, elapsed: float) -> float:
         """Return the seconds that the server needs for the queued calls.
