--- a/flamingosail/kernel.py
+++ b/flamingosail/kernel.py
@@ -88,5 +88,16 @@
     def dump(self, name: str | None = None) -> dict:
         """Return the state of one service, or of all by name."""
         if name is not None:
-            return self.get(name).dump()
-        return {key: item.dump() for key, item in self.services.items()}
+            return dump_of(self.get(name))
+        return {key: dump_of(item) for key, item in self.services.items()}
+
+
+def dump_of(service: Service) -> dict:
+    """Return the state of a service, or the error that dumping it raised.
+
+    The dump of the others is needed most when one service is broken.
+    """
+    try:
+        return service.dump()
+    except Exception as error:
+        return {"dump_error": f"{type(error).__name__}: {error}"}
