--- a/experiments/manifest_slope.py
+++ b/experiments/manifest_slope.py
@@ -22,7 +22,7 @@
 from flamingosail.node import Node
 from flamingosail.node import NodePlace
 from flamingosail.transport import LoopbackNetwork
-from tests.memorylog import MemoryLog
+from standins.memorylog import MemoryLog
 
 __all__ = ["main"]
 
--- a/tests/memorylog.py
+++ b/standins/memorylog.py
@@ -1,4 +1,4 @@
-"""An in-memory log service on a clock, with faults, for tests."""
+"""An in-memory log service on a clock, with faults."""
 
 from collections import defaultdict
 
--- a/tests/test_manifesthistory.py
+++ b/tests/test_manifesthistory.py
@@ -16,7 +16,7 @@
 from flamingosail.manifesthistory import Outcome
 from flamingosail.manifesthistory import OutcomeState
 from flamingosail.manifesthistory import Publication
-from tests.memorylog import MemoryLog
+from standins.memorylog import MemoryLog
 
 STREAM = "manifest"
 
--- a/tests/test_manifestservice.py
+++ b/tests/test_manifestservice.py
@@ -15,7 +15,7 @@
 from flamingosail.messages import ManifestCopy
 from flamingosail.messages import ManifestPull
 from flamingosail.transport import LoopbackNetwork
-from tests.memorylog import MemoryLog
+from standins.memorylog import MemoryLog
 
 BODY = b'{"services": {}, "kinds": {}}'
 RETENTION = 800.0
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -12,7 +12,7 @@
 from flamingosail.manifestservice import MANIFEST_STREAM
 from flamingosail.publisher import Publisher
 from flamingosail.publisher import ReportState
-from tests.memorylog import MemoryLog
+from standins.memorylog import MemoryLog
 
 BODY = b'{"services": {}, "kinds": {}}'
 MANIFEST = parse_manifest(BODY, version=-1)
