Let a new manifest change the retry budgets

Cause: found by reading. Egress.on_manifest was never registered with the manifest service, so budgets kept the settings of the manifest in force when a service was first called. Before: the new test failed for want of a listener. After: it passes.

--- a/flamingosail/egress.py
+++ b/flamingosail/egress.py
@@ -80,8 +80,8 @@
     ) -> Deferred[Answer]:
         """Carry out one call and return its answer.
 
-        The Deferred never fails. Cancelling it cancels the call, unless
-        the kind is not idempotent and the call may have begun.
+        The Deferred never fails. Cancelling it ends the call here; the
+        server's node goes on with a call that is not idempotent.
         """
         if not self.pressure.admits(kind.name, context.priority):
             return _fired(
--- a/flamingosail/node.py
+++ b/flamingosail/node.py
@@ -124,6 +124,7 @@
             ingress=ingress,
         )
     )
+    manifest.listeners.append(egress.on_manifest)
     shared = {
         "clock": clock,
         "random": random,
--- a/flamingosail/nodecli.py
+++ b/flamingosail/nodecli.py
@@ -49,9 +49,7 @@
 
 def main(argv: list[str] | None = None):
     """Run the console script."""
-    command = cappa.parse(
-        NodeCommand, argv=argv, version=f"%(prog)s {__version__}"
-    )
+    command = cappa.parse(NodeCommand, argv=argv, version=__version__)
     try:
         settings = read_settings(command.settings)
     except* Exception as group:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -62,6 +62,15 @@
 
     def __init__(self, document: dict):
         self.current = parse_manifest(json.dumps(document).encode(), version=1)
+        self.listeners = []
+
+    def change(self, document: dict):
+        """Put another manifest in force."""
+        body = json.dumps(document).encode()
+        version = self.current.version + 1
+        self.current = parse_manifest(body, version=version)
+        for listener in self.listeners:
+            listener(self.current)
 
 
 class FixedMembers:
--- a/tests/test_callpath.py
+++ b/tests/test_callpath.py
@@ -8,6 +8,7 @@
 from flamingosail.request import Request
 from flamingosail.verdict import Verdict
 from tests.fakes import Cluster
+from tests.fakes import MANIFEST
 
 
 class CallPathTest(TestCase):
@@ -282,6 +283,18 @@
             cluster.advance(0.006, step=0.002)
         self.assertGreater(served.served, 100)
 
+    def test_a_new_manifest_changes_the_retry_budgets(self):
+        # Guards against settings of a manifest that never come in force.
+        cluster = Cluster({"histbook": 2})
+        cluster.send("histbook-0", "browse")
+        cluster.advance(0.1)
+        services = {**MANIFEST["services"]}
+        services["histbook"] = {"retry_budget_cap": 0}
+        cluster.manifest.change({**MANIFEST, "services": services})
+        kind = cluster.manifest.current.kinds["browse"]
+        budget = cluster.nodes["histbook-0"].egress.budget(kind)
+        self.assertEqual(0, budget.cap)
+
     def test_a_server_that_was_lost_serves_again(self):
         # Guards against state that the loss leaves in the admission.
         cluster = Cluster({"histbook": 1, "gatekeeper": 1})
