Do not begin calls that cannot end in time, nor blame a server for them

Cause: by reading. A parent that ran out of time while it waited for a slow service below counted as overload of its own server, and its limit fell by 0.7 each time. Calls with less time left than the server takes were begun and thrown away.

Change: a call out of time counts against the limit only if the server had it for twice its usual time; a call with less than 0.9 of the usual own time left is refused as not run.

--- a/flamingosail/ingress.py
+++ b/flamingosail/ingress.py
@@ -34,6 +34,10 @@
 __all__ = ["Ingress", "Work"]
 
 TOKEN_BITS = 128
+# Calls with less time than this share of the usual own time are not begun.
+LEAST_TIME_SHARE = 0.9
+SLOW_CALL_FACTOR = 2.0
+OUT_OF_TIME = frozenset((RefusalCode.CANCELLED, RefusalCode.DEADLINE_EXCEEDED))
 
 
 @dataclass(slots=True, eq=False)
@@ -241,7 +245,7 @@
         if not self.admission.admits(work.priority):
             self.refuse(work, RefusalCode.OVERLOADED, "priority refused")
             return
-        if self.expected_wait(work) > remaining:
+        if self.expected_wait(work) + self.least_time() > remaining:
             self.refuse(work, RefusalCode.OVERLOADED, "wait exceeds deadline")
             return
         if not self.queue.push(work):
@@ -256,12 +260,26 @@
             return 0.0
         return ahead * self.limit.latency / max(1.0, self.limit.limit)
 
+    def least_time(self) -> float:
+        """Return the seconds below which a call cannot be answered in time.
+
+        0 while no call is at the server, so that an estimate that has become
+        too high is corrected by the next call.
+        """
+        return LEAST_TIME_SHARE * self.limit.latency if self.serving else 0.0
+
     def dispatch(self):
         """Hand queued calls to the backend server while it has room."""
         while self.queue.size and self.limit.has_room:
             work = self.queue.pop()
             if work is None:
                 break
+            remaining = work.deadline - self.clock.seconds()
+            if remaining < self.least_time():
+                self.refuse(
+                    work, RefusalCode.DEADLINE_EXCEEDED, "too little time left"
+                )
+                continue
             self.serve(work)
         self.admission.queued = self.queue.lengths()
         self.admission.slots = max(1.0, self.limit.limit)
@@ -301,7 +319,9 @@
             work.children_seconds += now - work.children_since
         own = max(0.0, now - work.dispatched - work.children_seconds)
         refused = answer.refusal is not None
-        self.limit.finished(own_seconds=own, failed=refused)
+        self.limit.finished(
+            own_seconds=own, failed=refused and self.blames(answer, own)
+        )
         if not refused:
             self.admission.completed()
             self.admission.service_seconds = self.limit.latency
@@ -312,6 +332,16 @@
         work.cancel_children()
         self.dispatch()
 
+    def blames(self, answer: Answer, own: float) -> bool:
+        """Return whether a refusal is a sign of overload of the server.
+
+        A call that ran out of time says nothing if the server had it for no
+        longer than usual: it came late, or waited for calls of its own.
+        """
+        if answer.refusal.code not in OUT_OF_TIME:
+            return True
+        return own > SLOW_CALL_FACTOR * self.limit.latency
+
     def completed(self, answer: Answer, work: Work) -> Answer:
         """Return the answer as the calling node gets it."""
         verdict = answer.verdict
