Lower the limit only for calls that the server itself held for long

Cause: the own time of a server that mostly waits for others is a few milliseconds, so noise made it twice the usual and its limit fell with each call that ran out of time; a server that had slowed to a third lost slots in the same way, although fewer calls at a time do not make it faster.

Ruled out: the slots of the services above the slow one (60 each in the scaled deployment).

--- a/flamingosail/ingress.py
+++ b/flamingosail/ingress.py
@@ -36,7 +36,9 @@
 TOKEN_BITS = 128
 # Calls with less time than this share of the usual own time are not begun.
 LEAST_TIME_SHARE = 0.9
-SLOW_CALL_FACTOR = 2.0
+# A server that has slowed to a third needs all its slots; fewer calls at a
+# time would not make it faster.
+SLOW_CALL_FACTOR = 4.0
 OUT_OF_TIME = frozenset((RefusalCode.CANCELLED, RefusalCode.DEADLINE_EXCEEDED))
 
 
@@ -319,9 +321,8 @@
             work.children_seconds += now - work.children_since
         own = max(0.0, now - work.dispatched - work.children_seconds)
         refused = answer.refusal is not None
-        self.limit.finished(
-            own_seconds=own, failed=refused and self.blames(answer, own)
-        )
+        failed = refused and self.blames(answer, own, now - work.dispatched)
+        self.limit.finished(own_seconds=own, failed=failed)
         if not refused:
             self.admission.completed()
             self.admission.service_seconds = self.limit.latency
@@ -332,15 +333,18 @@
         work.cancel_children()
         self.dispatch()
 
-    def blames(self, answer: Answer, own: float) -> bool:
+    def blames(self, answer: Answer, own: float, elapsed: float) -> bool:
         """Return whether a refusal is a sign of overload of the server.
 
         A call that ran out of time says nothing if the server had it for no
-        longer than usual: it came late, or waited for calls of its own.
+        longer than usual: it came late, or waited for calls of its own. A
+        server that mostly waits has an own time of milliseconds, which noise
+        alone doubles.
         """
         if answer.refusal.code not in OUT_OF_TIME:
             return True
-        return own > SLOW_CALL_FACTOR * self.limit.latency
+        usual = SLOW_CALL_FACTOR * self.limit.latency
+        return own > max(usual, elapsed / 2)
 
     def completed(self, answer: Answer, work: Work) -> Answer:
         """Return the answer as the calling node gets it."""
