--- a/flamingosail/attempt.py
+++ b/flamingosail/attempt.py
@@ -4,13 +4,13 @@
 from flamingosail.context import CallContext
 from flamingosail.errors import RefusalCode
 from flamingosail.errors import SendFailed
-from flamingosail.ingress import Work
 from flamingosail.messages import Call
 from flamingosail.messages import Cancel
 from flamingosail.messages import MemberRecord
 from flamingosail.request import Answer
 from flamingosail.request import refuse
 from flamingosail.verdict import Verdict
+from flamingosail.work import Work
 
 __all__ = ["Attempt"]
 
--- a/flamingosail/childcalls.py
+++ b/flamingosail/childcalls.py
@@ -11,7 +11,6 @@
 from flamingosail.entry import RequestEnded
 from flamingosail.errors import RefusalCode
 from flamingosail.ingress import Ingress
-from flamingosail.ingress import Work
 from flamingosail.keys import KeyEntry
 from flamingosail.keys import KeyState
 from flamingosail.manifest import KindSpec
@@ -20,6 +19,7 @@
 from flamingosail.request import refuse
 from flamingosail.request import Request
 from flamingosail.verdict import Verdict
+from flamingosail.work import Work
 
 __all__ = ["ChildCalls"]
 
--- a/flamingosail/ingress.py
+++ b/flamingosail/ingress.py
@@ -1,11 +1,8 @@
 """Calls for the node's own backend server."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
 from random import Random
 
-from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
 from flamingosail.admission import AdmissionControl
@@ -18,7 +15,6 @@
 from flamingosail.errors import SendFailed
 from flamingosail.exchange import answer_message
 from flamingosail.kernel import Service
-from flamingosail.keys import KeyEntry
 from flamingosail.limit import ConcurrencyLimit
 from flamingosail.messages import Call
 from flamingosail.messages import Cancel
@@ -30,8 +26,9 @@
 from flamingosail.request import Request
 from flamingosail.transport import Transport
 from flamingosail.verdict import Verdict
+from flamingosail.work import Work
 
-__all__ = ["Ingress", "Work"]
+__all__ = ["Ingress"]
 
 TOKEN_BITS = 128
 # Calls with less time than this share of the usual own time are not begun.
@@ -42,60 +39,6 @@
 OUT_OF_TIME = frozenset((RefusalCode.CANCELLED, RefusalCode.DEADLINE_EXCEEDED))
 
 
-@dataclass(slots=True, eq=False)
-class Work:
-    """One call on its way through the ingress.
-
-    ``reply`` is called once with the answer. ``trust_refusal`` is that of
-    the call's kind. The fields from ``token`` on are set while the backend
-    server works on the call.
-    """
-
-    request: Request
-    context: CallContext
-    reply: Callable[[Answer], None]
-    trust_refusal: bool
-    priority: int = 0
-    deadline: float = 0.0
-    enqueued: float = 0.0
-    cancelled: bool = False
-    token: str = ""
-    dispatched: float = 0.0
-    served: Deferred | None = None
-    allowance: Allowance | None = None
-    pressure: int = PRIORITY_RANGE
-    children: int = 0
-    open_children: int = 0
-    children_since: float = 0.0
-    children_seconds: float = 0.0
-    failed_digests: set[str] = field(default_factory=set)
-    child_keys: dict[str, KeyEntry] = field(default_factory=dict)
-    child_calls: set[Deferred] = field(default_factory=set)
-
-    def __post_init__(self):
-        self.priority = self.context.priority
-        self.deadline = self.context.deadline
-        self.allowance = self.context.allowance
-
-    def child_started(self, now: float):
-        """Note that the backend server waits for a call of its own."""
-        self.children += 1
-        if not self.open_children:
-            self.children_since = now
-        self.open_children += 1
-
-    def cancel_children(self):
-        """Cancel the open calls below; they are all idempotent."""
-        for call in list(self.child_calls):
-            call.cancel()
-
-    def child_finished(self, now: float):
-        """Note the end of a call of the backend server."""
-        self.open_children -= 1
-        if not self.open_children:
-            self.children_seconds += now - self.children_since
-
-
 class Ingress(Service):
     """Admits, queues and dispatches calls for the backend server."""
 
@@ -134,6 +77,8 @@
         self.serving: dict[str, Work] = {}
         self.remote: dict[tuple[str, int], Work] = {}
         self.served = 0
+        # Requests in service and waiting, as the backend server says.
+        self.load_report: tuple[int, int] | None = None
         transport.listen(Call, self.on_call)
         transport.listen(Cancel, self.on_cancel)
 
@@ -425,6 +370,7 @@
             "draining": self.draining,
             "serving": len(self.serving),
             "served": self.served,
+            "load_report": self.load_report,
             "duplicates": self.replay.duplicates,
             "queue": self.queue.dump(),
             "limit": self.limit.dump(),
