Serve the platform: node, gate, hop and a thin adapter

Cause: the product spoke only its own protocol with kinds and keys; the platform's clients select routes by host and path and its servers report heartbeats to the node beside them.

--- a/experiments/loadprocess.py
+++ b/experiments/loadprocess.py
@@ -10,7 +10,7 @@
 import sys
 import time
 
-from flamingosail.daemon import use_monotonic_time
+from flamingosail.reactorclock import use_monotonic_time
 from flamingosail.load import LoadGenerator
 from flamingosail.load import LoadKind
 from flamingosail.load import LoadRequest
--- a/flamingosail/daemon.py
+++ b/flamingosail/daemon.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from random import SystemRandom
-from time import monotonic
 
 from logbook import Logger
 from twisted.internet.defer import inlineCallbacks
@@ -31,19 +30,11 @@
 from flamingosail.settings import Settings
 from flamingosail.zmqtransport import ZmqTransport
 
-__all__ = ["Daemon", "use_monotonic_time"]
+__all__ = ["Daemon"]
 
 BACKLOG_CONNECTIONS = 1024
 
 
-def use_monotonic_time(reactor):
-    """Let a reactor take its time from the monotonic clock.
-
-    By default it is the wall clock, whose steps would move deadlines.
-    """
-    reactor.seconds = monotonic
-
-
 class HttpPort(Service):
     """Listens with an HttpListener at an address."""
 
--- a/flamingosail/httpclient.py
+++ b/flamingosail/httpclient.py
@@ -57,6 +57,8 @@
     answer to the next request.
     """
 
+    max_body_bytes = MAX_BODY_BYTES
+
     def __init__(self):
         self.open = False
         self.waiting: Deferred | None = None
@@ -186,8 +188,10 @@
             self.excess = True
             return
         self.body_bytes += len(data)
-        if self.body_bytes > MAX_BODY_BYTES:
-            raise BadResponse(f"the body exceeds {MAX_BODY_BYTES} bytes")
+        if self.body_bytes > self.max_body_bytes:
+            raise BadResponse(
+                f"the body exceeds {self.max_body_bytes} bytes"
+            )
         self.chunks.append(data)
 
     def on_message_complete(self):
--- a/flamingosail/nodecli.py
+++ b/flamingosail/nodecli.py
@@ -14,11 +14,11 @@
 
 from flamingosail import __version__
 from flamingosail.daemon import Daemon
-from flamingosail.daemon import use_monotonic_time
 from flamingosail.ipresolver import IpResolver
 from flamingosail.logs import JsonLinesHandler
 from flamingosail.logs import TwistedObserver
 from flamingosail.node import add_call_path
+from flamingosail.reactorclock import use_monotonic_time
 from flamingosail.settings import read_settings
 from flamingosail.settings import Settings
 
--- /dev/null
+++ b/flamingosail/proxy/forward.py
@@ -0,0 +1,329 @@
+"""Carries the requests of clients to backend servers and back."""
+
+from random import Random
+
+from logbook import Logger
+from twisted.internet.interfaces import IReactorTime
+
+from flamingosail.proxy.balance import Balance
+from flamingosail.proxy.budget import RepeatBudget
+from flamingosail.proxy.client import Exchange
+from flamingosail.proxy.dialect import Dialect
+from flamingosail.proxy.hop import Outcome
+from flamingosail.proxy.peers import PeerTable
+from flamingosail.proxy.peers import RemoteServer
+from flamingosail.proxy.routes import ClientLimits
+from flamingosail.proxy.routes import Route
+from flamingosail.proxy.routes import RouteTable
+from flamingosail.proxy.routes import SplitBalance
+from flamingosail.proxy.timeouts import Timeouts
+
+__all__ = ["Forwarder"]
+
+# Offers to gates that refused before anything ran; each costs a round trip.
+MAX_OFFERS = 4
+# A client that is told to come back should find time left for its request.
+RETURN_SHARE = 0.3
+SHORTEST_RETURN_SECONDS = 0.02
+LONGEST_RETURN_SECONDS = 1.0
+# The gate's own refusal of an expired request must arrive before ours.
+HOP_MARGIN_SECONDS = 0.01
+
+log = Logger("proxy.forward")
+
+
+class Forwarding:
+    """A client's request on its way.
+
+    ``tried`` holds the servers that were offered the request, ``runs`` how
+    many of them may have run it.
+    """
+
+    __slots__ = (
+        "exchange",
+        "route",
+        "service",
+        "deadline",
+        "tried",
+        "runs",
+        "attempt",
+        "over",
+        "head",
+    )
+
+    def __init__(self, *, exchange: Exchange, route: Route, service: str):
+        self.exchange = exchange
+        self.route = route
+        self.service = service
+        self.deadline = 0.0
+        self.tried: list[RemoteServer] = []
+        self.runs = 0
+        self.attempt = None
+        self.over = False
+        self.head = b""
+
+
+class Attempt:
+    """One offer of a request to one server."""
+
+    __slots__ = ("forwarder", "work", "server", "stream", "connection")
+
+    def __init__(self, *, forwarder, work: Forwarding, server: RemoteServer):
+        self.forwarder = forwarder
+        self.work = work
+        self.server = server
+        self.stream = 0
+        self.connection = None
+
+    def ended(self, outcome, status, head, body, reason):
+        """Take in the end of the attempt."""
+        self.server.sent -= 1
+        work = self.work
+        if work.attempt is self:
+            work.attempt = None
+            self.forwarder.attempt_ended(
+                work, self.server, outcome, status, head, body, reason
+            )
+
+
+class Forwarder:
+    """Handles the exchanges of clients; see ``client.ExchangeHandler``."""
+
+    def __init__(
+        self,
+        *,
+        clock: IReactorTime,
+        random: Random,
+        dialect: Dialect,
+        peers: PeerTable,
+        balance: Balance,
+        own_service: str,
+    ):
+        self.clock = clock
+        self.random = random
+        self.peers = peers
+        self.balance = balance
+        self.caller_line = b"%s: %s\r\n" % (
+            dialect.caller_service,
+            own_service.encode("latin-1", "replace"),
+        )
+        self.table: RouteTable | None = None
+        self.limits = ClientLimits()
+        self.split = SplitBalance()
+        self.budget = RepeatBudget(clock=clock)
+        self.timeouts = Timeouts(clock=clock, on_due=self.timed_out)
+        self.in_flight = 0
+
+    def use(self, table: RouteTable):
+        """Put a configuration in force."""
+        self.table = table
+        self.limits = table.limits
+        self.split.forget()
+
+    # The client side.
+
+    def handle(self, exchange: Exchange):
+        """Find the route of a request and send it."""
+        table = self.table
+        if table is None:
+            self.refuse_early(exchange, "no configuration is known")
+            return
+        route = table.find(exchange.host, exchange.target)
+        if route is None:
+            log.info(
+                "no route",
+                extra={
+                    "request": exchange.request_id.decode("latin-1"),
+                    "config_version": table.version,
+                },
+            )
+            exchange.answer(404, b"")
+            return
+        work = Forwarding(
+            exchange=exchange,
+            route=route,
+            service=self.split.choose(route),
+        )
+        exchange.call = work
+        wait = route.timeout_seconds
+        if exchange.left_ms is not None:
+            wait = min(wait, exchange.left_ms / 1000)
+        work.deadline = exchange.arrived + wait
+        work.head = b"".join(
+            (
+                exchange.method,
+                b" ",
+                exchange.target,
+                b" HTTP/1.1\r\n",
+                *exchange.head,
+                self.caller_line,
+            )
+        )
+        self.budget.requested(work.service)
+        self.in_flight += 1
+        self.timeouts.add(work.deadline, work)
+        self.offer(work, "")
+
+    def cancelled(self, exchange: Exchange):
+        """Stop the work for a client that left."""
+        work = exchange.call
+        if work is None or work.over:
+            return
+        log.info(
+            "client left",
+            extra={"request": exchange.request_id.decode("latin-1")},
+        )
+        self.close(work)
+        self.cancel_attempt(work)
+
+    # Servers.
+
+    def offer(self, work: Forwarding, reason: str):
+        """Offer a request to the best server, or refuse it.
+
+        ``reason`` tells why the server before did not run it.
+        """
+        server = None
+        if len(work.tried) < MAX_OFFERS:
+            server = self.balance.choose(
+                self.peers.by_service.get(work.service, ()), work.tried
+            )
+        left = work.deadline - self.clock.seconds() - HOP_MARGIN_SECONDS
+        if server is None or left <= 0:
+            self.give_up(work, reason or "no server can be reached")
+            return
+        exchange = work.exchange
+        work.tried.append(server)
+        attempt = work.attempt = Attempt(
+            forwarder=self, work=work, server=server
+        )
+        server.sent += 1
+        server.call(
+            attempt,
+            {
+                "request_id": exchange.request_id,
+                "service": work.service,
+                "head": work.head,
+                "body": exchange.body,
+                "left_ms": int(left * 1000),
+                "idempotent": work.route.idempotent,
+                "priority": work.route.priority,
+                "nested": False,
+            },
+        )
+
+    def attempt_ended(
+        self, work: Forwarding, server, outcome, status, head, body, reason
+    ):
+        """Answer the client, or try another server."""
+        if work.over:
+            return
+        if outcome == Outcome.ANSWERED:
+            work.runs += 1
+            if status >= 500 and self.may_repeat(work):
+                log.info("repeated", extra=self.story(work, f"{status}"))
+                self.offer(work, f"a server answered {status}")
+            else:
+                self.finish(work, status, head, body)
+        elif outcome == Outcome.REFUSED:
+            self.offer(work, reason)
+        elif outcome == Outcome.SHED:
+            if self.may_send_again(work):
+                self.offer(work, reason)
+            else:
+                self.give_up(work, reason)
+        else:
+            work.runs += 1
+            if self.may_repeat(work):
+                log.info("repeated", extra=self.story(work, reason))
+                self.offer(work, reason)
+            else:
+                self.give_up(work, reason)
+
+    def may_repeat(self, work: Forwarding) -> bool:
+        """Return whether a request that may have run is sent again."""
+        return (
+            work.route.idempotent
+            and work.runs < work.route.max_attempts
+            and self.may_send_again(work)
+        )
+
+    def may_send_again(self, work: Forwarding) -> bool:
+        """Return whether the budget allows another arrival at a server."""
+        others = any(
+            server not in work.tried and server.usable
+            for server in self.peers.by_service.get(work.service, ())
+        )
+        return others and self.budget.take(work.service)
+
+    # Ends.
+
+    def timed_out(self, work: Forwarding):
+        """Answer a request whose time is over."""
+        attempt = work.attempt
+        if attempt is not None:
+            # The server may be at work on it.
+            work.runs += 1
+        self.cancel_attempt(work)
+        self.give_up(work, "the time is over")
+
+    def cancel_attempt(self, work: Forwarding):
+        """Tell the server's node that nobody waits."""
+        attempt, work.attempt = work.attempt, None
+        if attempt is not None:
+            attempt.server.sent -= 1
+            attempt.server.cancel(attempt)
+
+    def give_up(self, work: Forwarding, reason: str):
+        """Answer with a failure that says whether the request may have run."""
+        log.info("gave up", extra=self.story(work, reason))
+        left = work.deadline - self.clock.seconds()
+        if not work.runs:
+            self.finish(work, 503, self.retry_line(left), b"")
+        else:
+            self.finish(work, 504 if left <= 0 else 502, b"", b"")
+
+    def refuse_early(self, exchange: Exchange, reason: str):
+        """Refuse a request before its route is known."""
+        log.info(
+            "refused",
+            extra={
+                "request": exchange.request_id.decode("latin-1"),
+                "reason": reason,
+            },
+        )
+        exchange.answer(503, self.retry_line(1.0), b"")
+
+    def retry_line(self, left: float) -> bytes:
+        """Return the header that tells when to come back."""
+        longest = min(LONGEST_RETURN_SECONDS, max(0.0, left) * RETURN_SHARE)
+        seconds = max(
+            SHORTEST_RETURN_SECONDS, longest * self.random.uniform(0.3, 1.0)
+        )
+        return b"Retry-After: %.3f\r\n" % seconds
+
+    def finish(self, work: Forwarding, status: int, head: bytes, body: bytes):
+        """Answer the client and forget the request."""
+        self.close(work)
+        work.exchange.answer(status, head, body)
+
+    def close(self, work: Forwarding):
+        """Count the end of a request."""
+        if not work.over:
+            work.over = True
+            self.in_flight -= 1
+
+    def story(self, work: Forwarding, reason: str) -> dict:
+        """Return the fields of a log line on a request."""
+        return {
+            "request": work.exchange.request_id.decode("latin-1"),
+            "route": work.route.name,
+            "service": work.service,
+            "reason": reason,
+            "tried": [str(server.address) for server in work.tried],
+            "runs": work.runs,
+            "age_ms": round(
+                (self.clock.seconds() - work.exchange.arrived) * 1000
+            ),
+            "config_version": self.table.version,
+        }
