Refuse whole requests where they begin, by the load that gates report

Ruled out: per-service rejection at the gates, which refuses calls of requests that were let in.

Change: nodes report offered and admitted requests by route and the slots that each route's requests take; every node computes the same shares. Calls are known by the id of the running request that theirs begins with, inherit its rank and are never refused by admission. A 5xx is repeated only if its server fails more than its neighbours. A far server is chosen only if it saves 30 ms of waiting.

--- a/experiments/loadprocess.py
+++ b/experiments/loadprocess.py
@@ -10,12 +10,12 @@
 import sys
 import time
 
-from flamingosail.reactorclock import use_monotonic_time
 from flamingosail.load import LoadGenerator
 from flamingosail.load import LoadKind
 from flamingosail.load import LoadRequest
 from flamingosail.load import NodeClient
 from flamingosail.load import Phase
+from flamingosail.reactorclock import use_monotonic_time
 from standins.workload import check_answer
 
 __all__ = ["main"]
--- a/flamingosail/httpclient.py
+++ b/flamingosail/httpclient.py
@@ -189,9 +189,7 @@
             return
         self.body_bytes += len(data)
         if self.body_bytes > self.max_body_bytes:
-            raise BadResponse(
-                f"the body exceeds {self.max_body_bytes} bytes"
-            )
+            raise BadResponse(f"the body exceeds {self.max_body_bytes} bytes")
         self.chunks.append(data)
 
     def on_message_complete(self):
--- a/flamingosail/proxy/balance.py
+++ b/flamingosail/proxy/balance.py
@@ -12,10 +12,23 @@
 
 __all__ = ["Balance"]
 
-# Above this share of its room a near server is not preferred to far ones.
-NEAR_FILL = 0.7
-# A server that failed lately is taken only if no other can be.
-FAILED_SECONDS = 1.0
+# Costs are in seconds of latency. A far server is worth its bytes between
+# failure domains if it saves this much waiting.
+FAR_SECONDS = 0.03
+# What a request waits if as many wait before it as the server has slots.
+WAIT_SECONDS = 0.06
+# Requests arrive at random, so the last slots are seldom free.
+FREE_SHARE = 0.95
+# Spreads requests over servers that are not full.
+FILL_SECONDS = 0.01
+# A server that fails at once looks idle; failing calls must not flow there.
+FAILURE_SECONDS = 0.3
+# Above the mean of the other servers by this much, the server is the cause.
+FAILURE_EXCESS = 0.15
+# A server that leaves is taken only if there is no other.
+LEAVING_SECONDS = 100.0
+# Work takes longer at a server that has just started.
+COLD_SECONDS = 0.1
 
 
 class Balance:
@@ -43,20 +56,29 @@
                 best, best_cost = server, cost
         return best
 
-    def cost(self, server: RemoteServer, now: float) -> float:
-        """Return a cost without unit; the lowest is chosen.
+    def stands_out(
+        self, server: RemoteServer, servers: Iterable[RemoteServer]
+    ) -> bool:
+        """Return whether a server fails more often than the others.
 
-        The whole part ranks kinds of servers, the fraction the fill.
+        If all fail alike, the cause lies deeper and another try is wasted.
         """
-        fill = (server.load() + self.random.random()) / server.room
-        cost = fill
+        others = [item.failures for item in servers if item is not server]
+        if not others:
+            return False
+        return server.failures > sum(others) / len(others) + FAILURE_EXCESS
+
+    def cost(self, server: RemoteServer, now: float) -> float:
+        """Return the seconds that a choice costs; the lowest is chosen."""
+        load = server.load() + self.random.random()
+        room = server.room
+        waiting = max(0.0, load + 1 - FREE_SHARE * room)
+        cost = (waiting / room) * WAIT_SECONDS + (load / room) * FILL_SECONDS
+        cost += server.failures * FAILURE_SECONDS
         if server.state != "ready":
-            cost += 100.0
+            cost += LEAVING_SECONDS
         if server.cold_until > now:
-            cost += fill
-        if (
-            server.failure_domain != self.failure_domain
-            or fill > NEAR_FILL
-        ):
-            cost += 1.0
+            cost += (load / room) * COLD_SECONDS
+        if server.failure_domain != self.failure_domain:
+            cost += FAR_SECONDS
         return cost
--- a/flamingosail/proxy/budget.py
+++ b/flamingosail/proxy/budget.py
@@ -4,8 +4,8 @@
 
 __all__ = ["RepeatBudget"]
 
-# Nodes may send a fifth of the requests again, over all nodes. Half of it is
-# left for the calls that a repeated request makes, which count as well.
+# Nodes may send a fifth of the requests again, over all nodes. Part of it is
+# left for what a node cannot see, such as its own restarts.
 DEFAULT_RATIO = 0.1
 MAX_TOKENS = 4.0
 START_TOKENS = 2.0
@@ -25,6 +25,11 @@
         tokens = self.tokens.get(service, START_TOKENS)
         self.tokens[service] = min(MAX_TOKENS, tokens + self.ratio)
 
+    def spend(self, service: str):
+        """Count a call of a request that was itself sent again."""
+        tokens = self.tokens.get(service, START_TOKENS)
+        self.tokens[service] = max(-MAX_TOKENS, tokens - 1)
+
     def take(self, service: str) -> bool:
         """Spend one second send if there is one."""
         tokens = self.tokens.get(service, START_TOKENS)
--- a/flamingosail/proxy/client.py
+++ b/flamingosail/proxy/client.py
@@ -100,9 +100,7 @@
         if self.over:
             return
         self.over = True
-        if status in BODILESS:
-            length, body = b"", b""
-        elif self.method == b"HEAD":
+        if status in BODILESS or self.method == b"HEAD":
             length, body = b"", b""
         else:
             length = b"Content-Length: %d\r\n" % len(body)
@@ -372,7 +370,11 @@
     noisy = False
 
     def __init__(
-        self, *, clock: IReactorTime, dialect: Dialect, handler: ExchangeHandler
+        self,
+        *,
+        clock: IReactorTime,
+        dialect: Dialect,
+        handler: ExchangeHandler,
     ):
         self.clock = clock
         self.dialect = dialect
--- a/flamingosail/proxy/dialect.py
+++ b/flamingosail/proxy/dialect.py
@@ -1,5 +1,6 @@
-"""The headers by which clients, nodes and backend servers understand each
-other; an adapter supplies them.
+"""Headers by which clients, nodes and backend servers understand each other.
+
+An adapter supplies them.
 """
 
 from dataclasses import dataclass
--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -10,6 +10,10 @@
 from flamingosail.proxy.client import Exchange
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.hop import Outcome
+from flamingosail.proxy.overload import Admission
+from flamingosail.proxy.overload import LoadMeter
+from flamingosail.proxy.overload import LoadReport
+from flamingosail.proxy.overload import route_key
 from flamingosail.proxy.peers import PeerTable
 from flamingosail.proxy.peers import RemoteServer
 from flamingosail.proxy.routes import ClientLimits
@@ -26,6 +30,8 @@
 RETURN_SHARE = 0.3
 SHORTEST_RETURN_SECONDS = 0.02
 LONGEST_RETURN_SECONDS = 1.0
+# A repeat with less time left has no chance: two hops and the shortest work.
+SHORTEST_REPEAT_SECONDS = 0.03
 # The gate's own refusal of an expired request must arrive before ours.
 HOP_MARGIN_SECONDS = 0.01
 
@@ -36,7 +42,9 @@
     """A client's request on its way.
 
     ``tried`` holds the servers that were offered the request, ``runs`` how
-    many of them may have run it.
+    many of them may have run it. ``origin``, ``rank`` and ``repeat`` are
+    those of ``hop.Call``; ``answer`` is the failure that a server answered
+    last.
     """
 
     __slots__ = (
@@ -49,6 +57,10 @@
         "attempt",
         "over",
         "head",
+        "origin",
+        "rank",
+        "repeat",
+        "answer",
     )
 
     def __init__(self, *, exchange: Exchange, route: Route, service: str):
@@ -61,6 +73,10 @@
         self.attempt = None
         self.over = False
         self.head = b""
+        self.origin = 0
+        self.rank = 0
+        self.repeat = False
+        self.answer = None
 
 
 class Attempt:
@@ -78,6 +94,10 @@
     def ended(self, outcome, status, head, body, reason):
         """Take in the end of the attempt."""
         self.server.sent -= 1
+        if outcome != Outcome.REFUSED:
+            self.server.note_outcome(
+                outcome != Outcome.ANSWERED or status >= 500
+            )
         work = self.work
         if work.attempt is self:
             work.attempt = None
@@ -97,12 +117,18 @@
         dialect: Dialect,
         peers: PeerTable,
         balance: Balance,
+        admission: Admission,
+        meter: LoadMeter,
         own_service: str,
     ):
         self.clock = clock
         self.random = random
         self.peers = peers
         self.balance = balance
+        self.admission = admission
+        self.meter = meter
+        self.keys: dict[str, int] = {}
+        self.priorities: dict[int, int] = {}
         self.caller_line = b"%s: %s\r\n" % (
             dialect.caller_service,
             own_service.encode("latin-1", "replace"),
@@ -119,6 +145,26 @@
         self.table = table
         self.limits = table.limits
         self.split.forget()
+        routes = [
+            route for paths in table.hosts.values() for route in paths.values()
+        ]
+        self.keys = {route.name: route_key(route.name) for route in routes}
+        self.priorities = {
+            self.keys[route.name]: route.priority for route in routes
+        }
+
+    def take_reports(self, reports: list[LoadReport]):
+        """Decide anew which requests may begin."""
+        before = dict(self.admission.binding)
+        self.admission.compute(reports, self.priorities)
+        if self.admission.binding != before:
+            log.info(
+                "admission changed",
+                extra={
+                    "shares": self.admission.shares,
+                    "binding": self.admission.binding,
+                },
+            )
 
     # The client side.
 
@@ -149,6 +195,8 @@
         if exchange.left_ms is not None:
             wait = min(wait, exchange.left_ms / 1000)
         work.deadline = exchange.arrived + wait
+        if not self.enter(work):
+            return
         work.head = b"".join(
             (
                 exchange.method,
@@ -164,6 +212,42 @@
         self.timeouts.add(work.deadline, work)
         self.offer(work, "")
 
+    def enter(self, work: Forwarding) -> bool:
+        """Admit a request, or refuse it and return False.
+
+        Calls of requests that run at our server belong to those and are
+        never refused here. Their ids begin with that of the request.
+        """
+        exchange, route = work.exchange, work.route
+        parent = self.peers.gate.running.get(
+            exchange.request_id.rpartition(b".")[0]
+        )
+        if parent is not None:
+            work.origin = parent.origin
+            # Even ranks are calls: they go before requests that begin.
+            work.rank = parent.rank & ~1
+            work.repeat = parent.repeat
+            if work.repeat:
+                self.budget.spend(work.service)
+            return True
+        key = work.origin = self.keys[route.name]
+        work.rank = 2 * route.priority + 1
+        admitted = self.admission.admits(key)
+        self.meter.began(key, admitted=admitted)
+        if not admitted:
+            work.over = True
+            left = work.deadline - self.clock.seconds()
+            log.info(
+                "not admitted",
+                extra={
+                    **self.story(work, "overload"),
+                    "share": self.admission.shares.get(key),
+                    "full": self.admission.binding.get(key),
+                },
+            )
+            exchange.answer(503, self.retry_line(left), b"")
+        return admitted
+
     def cancelled(self, exchange: Exchange):
         """Stop the work for a client that left."""
         work = exchange.call
@@ -207,8 +291,9 @@
                 "body": exchange.body,
                 "left_ms": int(left * 1000),
                 "idempotent": work.route.idempotent,
-                "priority": work.route.priority,
-                "nested": False,
+                "origin": work.origin,
+                "rank": work.rank,
+                "repeat": work.repeat or work.runs > 0,
             },
         )
 
@@ -220,8 +305,14 @@
             return
         if outcome == Outcome.ANSWERED:
             work.runs += 1
-            if status >= 500 and self.may_repeat(work):
+            servers = self.peers.by_service.get(work.service, ())
+            if (
+                status >= 500
+                and self.balance.stands_out(server, servers)
+                and self.may_repeat(work)
+            ):
                 log.info("repeated", extra=self.story(work, f"{status}"))
+                work.answer = (status, head, body)
                 self.offer(work, f"a server answered {status}")
             else:
                 self.finish(work, status, head, body)
@@ -244,7 +335,9 @@
         """Return whether a request that may have run is sent again."""
         return (
             work.route.idempotent
+            and not work.repeat
             and work.runs < work.route.max_attempts
+            and work.deadline - self.clock.seconds() > SHORTEST_REPEAT_SECONDS
             and self.may_send_again(work)
         )
 
@@ -278,7 +371,9 @@
         """Answer with a failure that says whether the request may have run."""
         log.info("gave up", extra=self.story(work, reason))
         left = work.deadline - self.clock.seconds()
-        if not work.runs:
+        if work.answer is not None:
+            self.finish(work, *work.answer)
+        elif not work.runs:
             self.finish(work, 503, self.retry_line(left), b"")
         else:
             self.finish(work, 504 if left <= 0 else 502, b"", b"")
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -19,6 +19,7 @@
 from flamingosail.proxy.backendserver import ServerRequest
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.hop import Outcome
+from flamingosail.proxy.overload import LoadMeter
 from flamingosail.proxy.timeouts import Timeouts
 
 __all__ = ["Gate", "Job", "ServerReport"]
@@ -32,6 +33,9 @@
 # The server answers at the deadline that it was given; after this much more
 # its connection is given up.
 ANSWER_GRACE_SECONDS = 0.2
+# Servers may slow down when nearly all of their slots are taken, and health
+# checks and new connections take slots as well.
+SLOT_SHARE = 0.95
 SERVICE_TIME_SMOOTHING = 0.05
 INITIAL_SERVICE_SECONDS = 0.05
 # A server that refuses connections is tried again after this time.
@@ -65,8 +69,9 @@
 class Job:
     """A request at the gate.
 
-    ``head`` is the request line and header lines. ``on_end`` is called once
-    as ``on_end(job, outcome, status, head, body, reason)``.
+    ``head`` is the request line and header lines; ``origin``, ``rank`` and
+    ``repeat`` are those of ``hop.Call``. ``on_end`` is called once as
+    ``on_end(job, outcome, status, head, body, reason)``.
     """
 
     __slots__ = (
@@ -77,7 +82,9 @@
         "framed",
         "deadline",
         "idempotent",
+        "origin",
         "rank",
+        "repeat",
         "on_end",
         "request",
         "started",
@@ -95,7 +102,9 @@
         framed: bool,
         deadline: float,
         idempotent: bool,
+        origin: int,
         rank: int,
+        repeat: bool,
         on_end: Callable,
         stream: int = 0,
     ):
@@ -106,7 +115,9 @@
         self.framed = framed
         self.deadline = deadline
         self.idempotent = idempotent
+        self.origin = origin
         self.rank = rank
+        self.repeat = repeat
         self.on_end = on_end
         self.request = None
         self.started = 0.0
@@ -128,18 +139,20 @@
         clock: IReactorTime,
         pool: ServerPool,
         dialect: Dialect,
+        meter: LoadMeter,
         drain_seconds: float,
         on_change: Callable,
     ):
         self.clock = clock
         self.pool = pool
         self.dialect = dialect
+        self.meter = meter
         self.drain_seconds = drain_seconds
         self.on_change = on_change
         self.report: ServerReport | None = None
         self.leaving_since: float | None = None
         self.down_until = 0.0
-        self.running: set[Job] = set()
+        self.running: dict[bytes, Job] = {}
         self.queue: list = []
         self.numbers = count()
         self.waiting = 0
@@ -165,9 +178,8 @@
         )
         self.report = report
         self.down_until = 0.0
-        if report.state == "draining":
-            if self.leaving_since is None:
-                self.leaving_since = self.clock.seconds()
+        if report.state == "draining" and self.leaving_since is None:
+            self.leaving_since = self.clock.seconds()
         if changed:
             log.info(
                 "server reported",
@@ -212,7 +224,9 @@
     @property
     def room(self) -> int:
         """How many requests may run at a time."""
-        return self.report.slots if self.report is not None else 0
+        if self.report is None:
+            return 0
+        return max(1, int(self.report.slots * SLOT_SHARE))
 
     # Requests.
 
@@ -225,9 +239,7 @@
         if len(self.running) < self.room:
             self.start(job)
             return
-        heappush(
-            self.queue, (job.rank, job.deadline, next(self.numbers), job)
-        )
+        heappush(self.queue, (job.rank, job.deadline, next(self.numbers), job))
         self.waiting += 1
         self.timeouts.add(job.deadline - SHORTEST_SECONDS, job)
 
@@ -236,6 +248,8 @@
         report = self.report
         if report is None:
             return "no server is known"
+        if job.request_id in self.running:
+            return "a request with this id is running"
         if report.service != job.service:
             return "the server belongs to another service"
         if self.state == "absent":
@@ -253,7 +267,7 @@
         """Hand a request to the server."""
         now = self.clock.seconds()
         job.started = now
-        self.running.add(job)
+        self.running[job.request_id] = job
         left = job.deadline - now
         lines = [
             job.head,
@@ -282,8 +296,8 @@
 
     def ended(self, job: Job, answer: ServerAnswer | None, reason: str):
         """Take in the end of a request at the server."""
-        self.running.discard(job)
         now = self.clock.seconds()
+        self.stop_counting(job, now)
         if answer is None:
             if job.request.written:
                 self.end(job, Outcome.LOST, reason)
@@ -318,6 +332,12 @@
             )
         self.start_next()
 
+    def stop_counting(self, job: Job, now: float):
+        """Note that a request no longer takes a slot of the server."""
+        if self.running.get(job.request_id) is job:
+            del self.running[job.request_id]
+        self.meter.served(job.origin, now - job.started)
+
     def connect_failed(self, now: float):
         """Send nothing for a while to a server that takes no connection."""
         if now >= self.down_until:
@@ -346,7 +366,7 @@
             self.waiting -= 1
             self.end(job, Outcome.REFUSED, "the time is over")
         elif job.deadline + ANSWER_GRACE_SECONDS <= self.clock.seconds():
-            self.running.discard(job)
+            self.stop_counting(job, self.clock.seconds())
             written = job.request.written
             job.request.abandon()
             outcome = Outcome.LOST if written else Outcome.REFUSED
@@ -366,7 +386,7 @@
             self.waiting -= 1
         elif job.idempotent or not job.request.written:
             job.over = True
-            self.running.discard(job)
+            self.stop_counting(job, self.clock.seconds())
             job.request.abandon()
             self.start_next()
 
--- a/flamingosail/proxy/hop.py
+++ b/flamingosail/proxy/hop.py
@@ -13,6 +13,7 @@
 from msgspec.msgpack import Encoder
 
 from flamingosail.errors import CodecError
+from flamingosail.proxy.overload import LoadReport
 
 __all__ = [
     "Call",
@@ -54,7 +55,10 @@
     """A request for the backend server beside the receiving node.
 
     ``head`` is the request line and the header lines, without the empty
-    line. ``left_ms`` is the time left in milliseconds.
+    line. ``left_ms`` is the time left in milliseconds. ``origin`` is the key
+    of the route on which the whole request began, ``rank`` its place in
+    queues (lower is served first), and ``repeat`` says that this call, or
+    one that led to it, was sent before.
     """
 
     stream: int
@@ -64,8 +68,9 @@
     body: bytes
     left_ms: int
     idempotent: bool
-    priority: int
-    nested: bool
+    origin: int
+    rank: int
+    repeat: bool
 
 
 class Reply(Struct, tag=2, array_like=True, gc=False):
@@ -94,10 +99,11 @@
 
 
 class Ping(Struct, tag=4, array_like=True, gc=False):
-    """Asks for a Pong; carries the version of the configuration."""
+    """Asks for a Pong; carries the version of the configuration and load."""
 
     number: int
     config_version: int
+    report: LoadReport
 
 
 class Status(Struct, tag=5, array_like=True, gc=False):
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -15,6 +15,9 @@
 from flamingosail.proxy.gate import Gate
 from flamingosail.proxy.hop import Hello
 from flamingosail.proxy.hop import Status
+from flamingosail.proxy.overload import Admission
+from flamingosail.proxy.overload import LoadMeter
+from flamingosail.proxy.overload import LoadReport
 from flamingosail.proxy.peers import LocalServer
 from flamingosail.proxy.peers import PeerTable
 from flamingosail.proxy.routes import RouteTable
@@ -78,8 +81,10 @@
         self.document = b""
         self.stopping_since: float | None = None
         self.ports = []
+        self.meter = LoadMeter(clock=reactor)
         self.gate = Gate(
             clock=reactor,
+            meter=self.meter,
             pool=ServerPool(
                 reactor=reactor, dialect=dialect, address=config.server
             ),
@@ -97,6 +102,8 @@
             own_address=config.peers,
             hello=self.hello,
             status=self.status,
+            load_report=self.load_report,
+            on_reports=lambda reports: self.forwarder.take_reports(reports),
             config_version=self.config_version,
             config_document=lambda: self.document,
             on_config=lambda document: self.offer_config(document, "peer"),
@@ -111,6 +118,8 @@
                 random=random,
                 failure_domain=config.failure_domain,
             ),
+            admission=Admission(clock=reactor),
+            meter=self.meter,
             own_service=config.service,
         )
         self.clients = ClientListener(
@@ -148,6 +157,12 @@
             config_version=self.config_version(),
         )
 
+    def load_report(self) -> LoadReport:
+        """Return what this node saw lately."""
+        gate = self.gate
+        room = gate.room if gate.state == "ready" else 0
+        return self.meter.report(self.config.service, room, gate.waiting)
+
     def config_version(self) -> int:
         """Return the version in force, 0 if none is."""
         return self.table.version if self.table is not None else 0
@@ -217,9 +232,7 @@
         self.stopped = Deferred()
         if self.stopping_since is None:
             self.stopping_since = self.reactor.seconds()
-            log.info(
-                "stopping", extra={"in_flight": self.forwarder.in_flight}
-            )
+            log.info("stopping", extra={"in_flight": self.forwarder.in_flight})
             self.clients.draining = True
             self.peers.local_changed()
             self.reactor.callLater(CLIENT_NOTICE_SECONDS, self.stop_step)
--- /dev/null
+++ b/flamingosail/proxy/overload.py
@@ -0,0 +1,237 @@
+"""Admission of requests at the node where they begin.
+
+Answers the pattern of a shallow service whose requests cause calls at a deep
+one that is full: work is begun, one of its calls is refused, and all of it is
+thrown away. Whole requests are refused before anything was spent, the least
+important first, and calls of requests that were let in never are.
+
+Every node tells the others how many requests begin at it on each route and
+how much of its server's time the requests of each route take, through all
+their calls. From these reports each node computes the same shares.
+"""
+
+from collections.abc import Iterable
+from math import exp
+
+from msgspec import Struct
+from twisted.internet.interfaces import IReactorTime
+from xxhash import xxh32_intdigest
+
+__all__ = ["Admission", "LoadMeter", "LoadReport", "route_key"]
+
+# Rates and usage forget with this time constant; the calls of a request
+# follow it within this time.
+MEMORY_SECONDS = 1.5
+# What a request of a route costs changes with its servers' speed only.
+COST_MEMORY_SECONDS = 3.0
+# Share of the slots that admitted requests may take; the rest takes up the
+# randomness of arrivals.
+TARGET_FILL = 0.92
+LOWEST_FILL = 0.5
+# Per computation, while more requests wait at the gates of a service than
+# this share of its slots, and while fewer do.
+LONG_QUEUE = 0.35
+FILL_DECREASE = 0.96
+FILL_INCREASE = 0.01
+# A little of each route always passes, so that costs stay known.
+LOWEST_SHARE = 0.02
+# A service is part of a route's cost above this many slot seconds a request.
+NEGLIGIBLE_COST = 0.0005
+# A route needs this many requests a second for its cost to be learnt.
+KNOWN_RATE = 0.5
+KEY_BITS = 0xFFFF
+# Rates travel as tenths, usage as hundredths.
+RATE_SCALE = 10
+USAGE_SCALE = 100
+
+
+class LoadReport(Struct, array_like=True, gc=False):
+    """What one node saw lately.
+
+    ``offered`` and ``admitted`` are requests per second that begin at the
+    node, by the key of their route, in tenths; ``usage`` is the number of
+    slots of the node's server that the requests of a route take, in
+    hundredths.
+    """
+
+    service: str = ""
+    room: int = 0
+    waiting: int = 0
+    offered: dict[int, int] = {}
+    admitted: dict[int, int] = {}
+    usage: dict[int, int] = {}
+
+
+def route_key(name: str) -> int:
+    """Return a short number for a route, the same at all nodes."""
+    return xxh32_intdigest(name.encode()) & KEY_BITS
+
+
+class LoadMeter:
+    """Counts what happens at this node and makes its reports."""
+
+    def __init__(self, *, clock: IReactorTime):
+        self.clock = clock
+        self.aged_at = clock.seconds()
+        self.started = self.aged_at
+        self.offered: dict[int, float] = {}
+        self.admitted: dict[int, float] = {}
+        self.used: dict[int, float] = {}
+
+    def began(self, key: int, *, admitted: bool):
+        """Count a request that begins here."""
+        self.offered[key] = self.offered.get(key, 0.0) + 1.0
+        if admitted:
+            self.admitted[key] = self.admitted.get(key, 0.0) + 1.0
+
+    def served(self, key: int, seconds: float):
+        """Count the time that a request took at our server."""
+        self.used[key] = self.used.get(key, 0.0) + seconds
+
+    def report(self, service: str, room: int, waiting: int) -> LoadReport:
+        """Return the rates of the last seconds."""
+        now = self.clock.seconds()
+        factor = exp((self.aged_at - now) / MEMORY_SECONDS)
+        self.aged_at = now
+        # A sum that forgets with time constant T holds T seconds' worth.
+        window = MEMORY_SECONDS * (
+            1 - exp((self.started - now) / MEMORY_SECONDS)
+        )
+        scales = (RATE_SCALE, RATE_SCALE, USAGE_SCALE)
+        rates = []
+        for sums, scale in zip(
+            (self.offered, self.admitted, self.used), scales, strict=True
+        ):
+            rate = {}
+            for key in list(sums):
+                sums[key] *= factor
+                number = round(sums[key] * scale / max(window, 0.1))
+                if number:
+                    rate[key] = number
+                elif sums[key] < 0.001:
+                    del sums[key]
+            rates.append(rate)
+        return LoadReport(service, room, waiting, *rates)
+
+
+class ServiceLoad:
+    """The capacity of a service and the share of it that may be used."""
+
+    def __init__(self):
+        self.room = 0
+        self.waiting = 0
+        self.fill = TARGET_FILL
+
+    def adapt(self):
+        """Lower the target while requests queue, else raise it slowly."""
+        if self.waiting > LONG_QUEUE * self.room:
+            self.fill = max(LOWEST_FILL, self.fill * FILL_DECREASE)
+        else:
+            self.fill = min(TARGET_FILL, self.fill + FILL_INCREASE)
+
+
+class Admission:
+    """Decides which requests may begin.
+
+    ``shares`` holds the share of each route's requests that is admitted;
+    routes that are not in it are admitted whole.
+    """
+
+    def __init__(self, *, clock: IReactorTime):
+        self.clock = clock
+        self.costs: dict[tuple[int, str], float] = {}
+        self.services: dict[str, ServiceLoad] = {}
+        self.shares: dict[int, float] = {}
+        self.binding: dict[int, str] = {}
+        self.credits: dict[int, float] = {}
+        self.computed_at = clock.seconds()
+
+    def admits(self, key: int) -> bool:
+        """Return whether the next request of a route may begin."""
+        share = self.shares.get(key)
+        if share is None:
+            return True
+        credit = self.credits.get(key, 0.5) + share
+        if credit >= 1:
+            self.credits[key] = credit - 1
+            return True
+        self.credits[key] = credit
+        return False
+
+    def compute(
+        self, reports: Iterable[LoadReport], priorities: dict[int, int]
+    ):
+        """Compute the shares from the latest report of each node.
+
+        ``priorities`` holds the priority of each route by its key.
+        """
+        now = self.clock.seconds()
+        elapsed, self.computed_at = now - self.computed_at, now
+        offered: dict[int, float] = {}
+        admitted: dict[int, float] = {}
+        usage: dict[tuple[int, str], float] = {}
+        for load in self.services.values():
+            load.room = load.waiting = 0
+        for report in reports:
+            for key, rate in report.offered.items():
+                offered[key] = offered.get(key, 0.0) + rate / RATE_SCALE
+            for key, rate in report.admitted.items():
+                admitted[key] = admitted.get(key, 0.0) + rate / RATE_SCALE
+            if not report.room:
+                continue
+            load = self.services.setdefault(report.service, ServiceLoad())
+            load.room += report.room
+            load.waiting += report.waiting
+            for key, used in report.usage.items():
+                pair = (key, report.service)
+                usage[pair] = usage.get(pair, 0.0) + used / USAGE_SCALE
+        self.learn(elapsed, admitted, usage)
+        shares: dict[int, float] = {}
+        self.binding.clear()
+        for service, load in self.services.items():
+            load.adapt()
+            if load.room:
+                self.share_out(service, load, offered, priorities, shares)
+        self.shares = shares
+
+    def learn(self, elapsed: float, admitted: dict, usage: dict):
+        """Move the costs of the routes that are in use to what is seen."""
+        weight = 1 - exp(-elapsed / COST_MEMORY_SECONDS)
+        for key, rate in admitted.items():
+            if rate < KNOWN_RATE:
+                continue
+            for service in self.services:
+                pair = (key, service)
+                seen = usage.get(pair, 0.0) / rate
+                known = self.costs.get(pair)
+                if known is None:
+                    self.costs[pair] = seen
+                else:
+                    self.costs[pair] = known + weight * (seen - known)
+
+    def share_out(
+        self,
+        service: str,
+        load: ServiceLoad,
+        offered: dict[int, float],
+        priorities: dict[int, int],
+        shares: dict[int, float],
+    ):
+        """Give the capacity of a service to routes by their priority."""
+        demands: dict[int, list[tuple[int, float]]] = {}
+        for key, rate in offered.items():
+            cost = self.costs.get((key, service), 0.0)
+            if cost > NEGLIGIBLE_COST and key in priorities:
+                demands.setdefault(priorities[key], []).append(
+                    (key, rate * cost)
+                )
+        left = load.room * load.fill
+        for priority in sorted(demands):
+            demand = sum(need for _, need in demands[priority])
+            share = max(LOWEST_SHARE, min(1.0, left / demand))
+            left = max(0.0, left - demand)
+            if share < 1.0:
+                for key, _ in demands[priority]:
+                    if share < shares.get(key, 1.0):
+                        shares[key] = share
+                        self.binding[key] = service
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -29,6 +29,7 @@
 from flamingosail.proxy.hop import Pong
 from flamingosail.proxy.hop import Reply
 from flamingosail.proxy.hop import Status
+from flamingosail.proxy.overload import LoadReport
 from flamingosail.proxy.sockets import prepare
 from flamingosail.proxy.sockets import write_now
 from flamingosail.settings import Address
@@ -45,6 +46,9 @@
 # A node that has been unreachable for long is dialled less often.
 MAX_REDIAL_SECONDS = 4.0
 
+# About the last ten calls decide.
+FAILURE_SMOOTHING = 0.1
+
 log = Logger("proxy.peers")
 
 
@@ -52,7 +56,8 @@
     """A backend server as the nodes that send to it see it.
 
     ``room``, ``running`` and ``waiting`` are those of its gate at the last
-    message; ``sent`` counts this node's own calls that are not ended.
+    message; ``sent`` counts this node's own calls that are not ended, and
+    ``failures`` is the share of the last ones that failed.
     """
 
     local = False
@@ -66,6 +71,7 @@
         self.waiting = 0
         self.sent = 0
         self.sent_at_report = 0
+        self.failures = 0.0
         self.cold_until = 0.0
         self.failure_domain = ""
 
@@ -76,6 +82,10 @@
         self.room = room
         self.sent_at_report = self.sent
 
+    def note_outcome(self, failed: bool):
+        """Take in how a call ended."""
+        self.failures += FAILURE_SMOOTHING * (failed - self.failures)
+
     def load(self) -> float:
         """Return the requests at the server, with those on their way."""
         on_the_way = self.sent - self.sent_at_report
@@ -125,7 +135,8 @@
     def __init__(self, *, table: "PeerTable"):
         super().__init__(table=table)
         self.jobs: dict[int, Job] = {}
-        self.peer_address: str | None = None
+        self.peer_address = ""
+        self.report: LoadReport | None = None
 
     def connectionMade(self):  # noqa: N802 - named by twisted
         """Tell the state of our server."""
@@ -162,7 +173,9 @@
                 )
             )
             self.table.heard_version(message.config_version, self)
+            self.report = message.report
         elif kind is Hello:
+            self.peer_address = message.address
             self.table.introduced(message)
         elif kind is ConfigPull:
             self.table.send_config(self, message.version)
@@ -179,7 +192,9 @@
             framed=bool(call.body),
             deadline=self.table.clock.seconds() + call.left_ms / 1000,
             idempotent=call.idempotent,
-            rank=call.priority,
+            origin=call.origin,
+            rank=call.rank,
+            repeat=call.repeat,
             on_end=self.ended,
             stream=call.stream,
         )
@@ -213,6 +228,7 @@
         self.peer = peer
         self.calls: dict = {}
         self.pings = count(1)
+        self.pinged = 0.0
 
     def connectionMade(self):  # noqa: N802 - named by twisted
         """Report that the peer can be reached."""
@@ -262,8 +278,15 @@
         silent = now - self.last_input
         if silent > SILENT_SECONDS:
             return False
-        if silent >= PING_SECONDS / 2:
-            self.send(Ping(next(self.pings), self.table.config_version()))
+        if now - self.pinged >= PING_SECONDS * 0.9:
+            self.pinged = now
+            self.send(
+                Ping(
+                    next(self.pings),
+                    self.table.config_version(),
+                    self.table.own_report,
+                )
+            )
         return True
 
 
@@ -433,7 +456,9 @@
             framed=bool(fields["body"]),
             deadline=self.gate.clock.seconds() + fields["left_ms"] / 1000,
             idempotent=fields["idempotent"],
-            rank=fields["priority"],
+            origin=fields["origin"],
+            rank=fields["rank"],
+            repeat=fields["repeat"],
             on_end=lambda job, *end: attempt.ended(*end),
         )
         attempt.connection = job
@@ -447,9 +472,10 @@
 class PeerTable(Factory):
     """All nodes that are known, and the listener for their calls.
 
-    ``hello`` and ``status`` make this node's messages; ``on_config`` takes a
-    configuration that a peer sent, ``config_document`` returns the one in
-    force with its version.
+    ``hello``, ``status`` and ``load_report`` make this node's messages;
+    ``on_reports`` takes the load reports of all nodes, ``on_config`` a
+    configuration that a peer sent; ``config_document`` returns the one in
+    force.
     """
 
     noisy = False
@@ -463,6 +489,8 @@
         own_address: Address,
         hello: Callable,
         status: Callable,
+        load_report: Callable,
+        on_reports: Callable,
         config_version: Callable,
         config_document: Callable,
         on_config: Callable,
@@ -474,6 +502,8 @@
         self.own_address = own_address
         self.hello = hello
         self.status = status
+        self.load_report = load_report
+        self.on_reports = on_reports
         self.config_version = config_version
         self.config_document = config_document
         self.on_config = on_config
@@ -481,6 +511,7 @@
         self.serving: set[ServingConnection] = set()
         self.by_service: dict[str, list[RemoteServer]] = {}
         self.pulled = (0, 0.0)
+        self.own_report = LoadReport()
         self.loop = LoopingCall(self.tick)
         self.loop.clock = reactor
 
@@ -500,8 +531,20 @@
     def tick(self):
         """Look at each peer."""
         now = self.clock.seconds()
+        self.own_report = self.load_report()
         for peer in list(self.peers.values()):
             peer.tick(now)
+        self.on_reports(self.reports(now))
+
+    def reports(self, now: float) -> list[LoadReport]:
+        """Return the latest report of each node that was heard lately."""
+        latest = {
+            connection.peer_address: connection.report
+            for connection in self.serving
+            if connection.report is not None
+            and now - connection.last_input < SILENT_SECONDS
+        }
+        return [self.own_report, *latest.values()]
 
     def add(self, address: Address):
         """Learn of a node; a known one that returned is dialled at once."""
