Keep what leaving servers said over restarts; refuse new work late in a stop

Change: departures are remembered by id and start; 2.3 s after SIGTERM new requests are refused as not run, while calls of requests at the own server go on, and the process ends when nothing is left.

--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -139,6 +139,7 @@
         self.budget = RepeatBudget(clock=clock)
         self.timeouts = Timeouts(clock=clock, on_due=self.timed_out)
         self.in_flight = 0
+        self.closed = False
 
     def use(self, table: RouteTable):
         """Put a configuration in force."""
@@ -230,6 +231,10 @@
             if work.repeat:
                 self.budget.spend(work.service)
             return True
+        if self.closed:
+            work.over = True
+            self.refuse_early(exchange, "the node stops")
+            return False
         key = work.origin = self.keys[route.name]
         work.rank = 2 * route.priority + 1
         admitted = self.admission.admits(key)
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -38,6 +38,8 @@
 SLOT_SHARE = 0.95
 SERVICE_TIME_SMOOTHING = 0.05
 INITIAL_SERVICE_SECONDS = 0.05
+# Servers that left one VM within the time of a delayed report.
+MAX_DEPARTURES = 64
 # A server that refuses connections is tried again after this time.
 DOWN_SECONDS = 0.3
 
@@ -151,6 +153,8 @@
         self.on_change = on_change
         self.report: ServerReport | None = None
         self.leaving_since: float | None = None
+        self.departures: dict[str, tuple[float, int]] = {}
+        self.closed = False
         self.down_until = 0.0
         self.running: dict[bytes, Job] = {}
         self.queue: list = []
@@ -164,29 +168,32 @@
     def reported(self, report: ServerReport):
         """Take in a report, unless it is older than the last one."""
         known = self.report
-        if known is not None:
-            if (report.born, report.sequence) <= (known.born, known.sequence):
-                return
-            if report.born != known.born and self.leaving_since is not None:
-                self.leaving_since = None
+        if known is not None and (report.born, report.sequence) <= (
+            known.born,
+            known.sequence,
+        ):
+            return
+        restarted = known is not None and report.born != known.born
         changed = (
             known is None
+            or restarted
             or known.instance != report.instance
-            or known.born != report.born
             or known.state != report.state
             or self.down_until
         )
         self.report = report
         self.down_until = 0.0
-        if report.state == "draining" and self.leaving_since is None:
-            self.leaving_since = self.clock.seconds()
+        if restarted:
+            self.leaving_since = None
+        if self.leaving_since is None:
+            self.leaving_since = self.departure_of(report)
         if changed:
             log.info(
                 "server reported",
                 extra={
                     "instance": report.instance,
                     "service": report.service,
-                    "state": report.state,
+                    "state": self.state,
                     "born": report.born,
                     "sequence": report.sequence,
                     "slots": report.slots,
@@ -194,12 +201,39 @@
             )
             self.on_change()
 
-    def left(self, instance: str):
-        """Take in that the server ends soon, or has ended."""
-        if self.report is None or self.report.instance != instance:
-            return
-        if self.leaving_since is None:
-            self.leaving_since = self.clock.seconds()
+    def departure_of(self, report: ServerReport) -> float | None:
+        """Return since when the server of a report leaves, if it does.
+
+        A report that was delayed may arrive after the server has said that
+        it leaves, also at a node that has just started and knew no server.
+        """
+        departure = self.departures.get(report.instance)
+        if departure is not None:
+            since, last_born = departure
+            if report.born <= last_born:
+                return since
+            del self.departures[report.instance]
+        return self.clock.seconds() if report.state == "draining" else None
+
+    def left(self, instance: str, last_born: int):
+        """Take in that a server ends soon, or has ended.
+
+        ``last_born`` is the latest start, in Unix milliseconds, for which
+        this holds.
+        """
+        now = self.clock.seconds()
+        known = self.report
+        while len(self.departures) >= MAX_DEPARTURES:
+            del self.departures[next(iter(self.departures))]
+        since, _ = self.departures.pop(instance, (now, 0))
+        self.departures[instance] = (since, last_born)
+        if (
+            known is not None
+            and known.instance == instance
+            and known.born <= last_born
+            and self.leaving_since is None
+        ):
+            self.leaving_since = now
             log.info("server leaves", extra={"instance": instance})
             self.on_change()
 
@@ -248,6 +282,8 @@
         report = self.report
         if report is None:
             return "no server is known"
+        if self.closed:
+            return "the node stops"
         if job.request_id in self.running:
             return "a request with this id is running"
         if report.service != job.service:
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -30,9 +30,6 @@
 CLIENT_NOTICE_SECONDS = 2.3
 # Requests still open this long before the process is killed are cut.
 STOP_MARGIN_SECONDS = 0.5
-# A request that arrives later than this after the stop began is refused,
-# since it may not end before the process does.
-LATE_ARRIVAL_SECONDS = 3.0
 STOP_POLL_SECONDS = 0.1
 
 log = Logger("proxy.node")
@@ -239,15 +236,17 @@
         return self.stopped
 
     def stop_step(self):
-        """End the process once nothing is left, or the time is over."""
+        """End the process once nothing is left, or the time is over.
+
+        From now on requests that begin here are refused, since they may not
+        end before the process; calls of requests at our server are not.
+        """
         now = self.reactor.seconds()
         elapsed = now - self.stopping_since
+        self.forwarder.closed = self.gate.closed = True
         late = elapsed >= self.config.stop_seconds - STOP_MARGIN_SECONDS
-        self.clients.close_idle()
-        idle = (
-            not self.forwarder.in_flight
-            and not self.gate.running
-            and not self.clients.connections
+        idle = not (
+            self.forwarder.in_flight or self.gate.running or self.gate.waiting
         )
         if not idle and not late:
             self.reactor.callLater(STOP_POLL_SECONDS, self.stop_step)
@@ -260,6 +259,7 @@
                 "seconds": round(elapsed, 3),
             },
         )
+        self.clients.close_idle()
         self.clients.stop()
         self.peers.stop()
         self.stopped.callback(None)
