--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -2,14 +2,15 @@
 
 from random import Random
 
-from logbook import Logger
 from twisted.internet.interfaces import IReactorTime
 
 from flamingosail.proxy.balance import Balance
 from flamingosail.proxy.budget import RepeatBudget
 from flamingosail.proxy.client import Exchange
+from flamingosail.proxy.decisions import DecisionLog
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.hop import Outcome
+from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.overload import Admission
 from flamingosail.proxy.overload import LoadMeter
 from flamingosail.proxy.overload import LoadReport
@@ -35,8 +36,6 @@
 # The gate's own refusal of an expired request must arrive before ours.
 HOP_MARGIN_SECONDS = 0.01
 
-log = Logger("proxy.forward")
-
 
 class Forwarding:
     """A client's request on its way.
@@ -119,6 +118,7 @@
         balance: Balance,
         admission: Admission,
         meter: LoadMeter,
+        metrics: NodeMetrics,
         own_service: str,
     ):
         self.clock = clock
@@ -127,6 +127,8 @@
         self.balance = balance
         self.admission = admission
         self.meter = meter
+        self.metrics = metrics
+        self.decisions = DecisionLog(clock=clock, channel="proxy.forward")
         self.keys: dict[str, int] = {}
         self.priorities: dict[int, int] = {}
         self.caller_line = b"%s: %s\r\n" % (
@@ -159,13 +161,14 @@
         before = dict(self.admission.binding)
         self.admission.compute(reports, self.priorities)
         if self.admission.binding != before:
-            log.info(
-                "admission changed",
-                extra={
-                    "shares": self.admission.shares,
-                    "binding": self.admission.binding,
-                },
-            )
+            self.decisions.failure("admission changed", self.shares)
+
+    def shares(self) -> dict:
+        """Return the fields of a log line on the admission."""
+        return {
+            "shares": self.admission.shares,
+            "binding": self.admission.binding,
+        }
 
     # The client side.
 
@@ -177,9 +180,10 @@
             return
         route = table.find(exchange.host, exchange.target)
         if route is None:
-            log.info(
+            self.metrics.count("requests_without_route")
+            self.decisions.failure(
                 "no route",
-                extra={
+                lambda: {
                     "request": exchange.request_id.decode("latin-1"),
                     "config_version": table.version,
                 },
@@ -242,12 +246,17 @@
         if not admitted:
             work.over = True
             left = work.deadline - self.clock.seconds()
-            log.info(
+            self.metrics.count("requests_not_admitted", route.name)
+            self.decisions.failure(
                 "not admitted",
-                extra={
+                lambda: {
                     **self.story(work, "overload"),
                     "share": self.admission.shares.get(key),
                     "full": self.admission.binding.get(key),
+                    "computed_ms_ago": round(
+                        (self.clock.seconds() - self.admission.computed_at)
+                        * 1000
+                    ),
                 },
             )
             exchange.answer(503, self.retry_line(left), b"")
@@ -258,9 +267,9 @@
         work = exchange.call
         if work is None or work.over:
             return
-        log.info(
-            "client left",
-            extra={"request": exchange.request_id.decode("latin-1")},
+        self.metrics.count("clients_left")
+        self.decisions.failure(
+            "client left", lambda: self.story(work, "the client closed")
         )
         self.close(work)
         self.cancel_attempt(work)
@@ -316,9 +325,10 @@
                 and self.balance.stands_out(server, servers)
                 and self.may_repeat(work)
             ):
-                log.info("repeated", extra=self.story(work, f"{status}"))
+                reason = f"a server answered {status}"
+                self.note_repeat(work, reason)
                 work.answer = (status, head, body)
-                self.offer(work, f"a server answered {status}")
+                self.offer(work, reason)
             else:
                 self.finish(work, status, head, body)
         elif outcome == Outcome.REFUSED:
@@ -331,11 +341,16 @@
         else:
             work.runs += 1
             if self.may_repeat(work):
-                log.info("repeated", extra=self.story(work, reason))
+                self.note_repeat(work, reason)
                 self.offer(work, reason)
             else:
                 self.give_up(work, reason)
 
+    def note_repeat(self, work: Forwarding, reason: str):
+        """Count and log that a request goes to another server."""
+        self.metrics.count("requests_repeated", work.service)
+        self.decisions.failure("repeated", lambda: self.story(work, reason))
+
     def may_repeat(self, work: Forwarding) -> bool:
         """Return whether a request that may have run is sent again."""
         return (
@@ -374,7 +389,8 @@
 
     def give_up(self, work: Forwarding, reason: str):
         """Answer with a failure that says whether the request may have run."""
-        log.info("gave up", extra=self.story(work, reason))
+        self.metrics.count("requests_given_up", work.service)
+        self.decisions.failure("gave up", lambda: self.story(work, reason))
         left = work.deadline - self.clock.seconds()
         if work.answer is not None:
             self.finish(work, *work.answer)
@@ -385,9 +401,10 @@
 
     def refuse_early(self, exchange: Exchange, reason: str):
         """Refuse a request before its route is known."""
-        log.info(
+        self.metrics.count("requests_refused_early", reason)
+        self.decisions.failure(
             "refused",
-            extra={
+            lambda: {
                 "request": exchange.request_id.decode("latin-1"),
                 "reason": reason,
             },
@@ -405,6 +422,13 @@
     def finish(self, work: Forwarding, status: int, head: bytes, body: bytes):
         """Answer the client and forget the request."""
         self.close(work)
+        self.metrics.observe_request(
+            f"{status // 100}xx",
+            self.clock.seconds() - work.exchange.arrived,
+        )
+        self.decisions.success(
+            "answered", lambda: self.story(work, f"status {status}")
+        )
         work.exchange.answer(status, head, body)
 
     def close(self, work: Forwarding):
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -17,8 +17,10 @@
 from flamingosail.proxy.backendserver import ServerAnswer
 from flamingosail.proxy.backendserver import ServerPool
 from flamingosail.proxy.backendserver import ServerRequest
+from flamingosail.proxy.decisions import DecisionLog
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.hop import Outcome
+from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.overload import LoadMeter
 from flamingosail.proxy.timeouts import Timeouts
 
@@ -43,6 +45,12 @@
 # A server that refuses connections is tried again after this time.
 DOWN_SECONDS = 0.3
 
+OUTCOME_NAMES = {
+    Outcome.ANSWERED: "answered",
+    Outcome.REFUSED: "refused",
+    Outcome.LOST: "lost",
+    Outcome.SHED: "shed",
+}
 log = Logger("proxy.gate")
 
 
@@ -142,6 +150,7 @@
         pool: ServerPool,
         dialect: Dialect,
         meter: LoadMeter,
+        metrics: NodeMetrics,
         drain_seconds: float,
         on_change: Callable,
     ):
@@ -149,6 +158,8 @@
         self.pool = pool
         self.dialect = dialect
         self.meter = meter
+        self.metrics = metrics
+        self.decisions = DecisionLog(clock=clock, channel="proxy.gate")
         self.drain_seconds = drain_seconds
         self.on_change = on_change
         self.report: ServerReport | None = None
@@ -355,6 +366,7 @@
             self.end(job, Outcome.LOST, "the answer is not the server's")
         else:
             seconds = now - job.started
+            self.metrics.observe_server(seconds)
             self.service_seconds += SERVICE_TIME_SMOOTHING * (
                 seconds - self.service_seconds
             )
@@ -428,6 +440,21 @@
 
     def end(self, job: Job, outcome: int, reason: str):
         """End a request without an answer of the server."""
+        self.metrics.count("gate_ends", OUTCOME_NAMES[outcome])
+        self.decisions.failure(
+            "not served",
+            lambda: {
+                "request": job.request_id.decode("latin-1"),
+                "outcome": OUTCOME_NAMES[outcome],
+                "reason": reason,
+                "instance": self.report.instance if self.report else "",
+                "server_state": self.state,
+                "running": len(self.running),
+                "waiting": self.waiting,
+                "room": self.room,
+                "left_ms": round((job.deadline - self.clock.seconds()) * 1000),
+            },
+        )
         self.finish(job, outcome, 0, b"", b"", reason)
 
     def finish(self, job: Job, outcome: int, status, head, body, reason):
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -15,6 +15,7 @@
 from flamingosail.proxy.gate import Gate
 from flamingosail.proxy.hop import Hello
 from flamingosail.proxy.hop import Status
+from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.overload import Admission
 from flamingosail.proxy.overload import LoadMeter
 from flamingosail.proxy.overload import LoadReport
@@ -79,9 +80,11 @@
         self.stopping_since: float | None = None
         self.ports = []
         self.meter = LoadMeter(clock=reactor)
+        self.metrics = NodeMetrics()
         self.gate = Gate(
             clock=reactor,
             meter=self.meter,
+            metrics=self.metrics,
             pool=ServerPool(
                 reactor=reactor, dialect=dialect, address=config.server
             ),
@@ -117,12 +120,27 @@
             ),
             admission=Admission(clock=reactor),
             meter=self.meter,
+            metrics=self.metrics,
             own_service=config.service,
         )
         self.clients = ClientListener(
             clock=reactor, dialect=dialect, handler=self.forwarder
         )
 
+        self.metrics.gauges.update(
+            in_flight=lambda: self.forwarder.in_flight,
+            gate_running=lambda: len(self.gate.running),
+            gate_waiting=lambda: self.gate.waiting,
+            gate_room=lambda: self.gate.room,
+            client_connections=lambda: len(self.clients.connections),
+            peers_reached=lambda: sum(
+                peer.connection is not None
+                for peer in self.peers.peers.values()
+            ),
+            config_version=self.config_version,
+            server_connects=lambda: self.gate.pool.connects,
+        )
+
     # Messages about this node.
 
     def hello(self) -> Hello:
