Learn the cost of requests from those that were served

Cause: a load model of a deep service at three times its capacity served 931 of 2,000 possible requests. The cost of a request was its usage divided by all admitted ones; what waits in vain uses nothing, so that overload looked cheap and nothing was refused. The target fill then fell to its bound and took 20 s to return. Timeouts nearer than the one armed fired late.

Ruled out: lowering the target fill alone (the queue never drained).

Change: usage is divided by the requests that were served; costs rise slowly and fall fast; the fill is lowered only while a long queue does not shrink. A nearer timeout re-arms the shared timer.

--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -42,7 +42,8 @@
 
     ``tried`` holds the servers that were offered the request, ``runs`` how
     many of them may have run it. ``origin``, ``rank`` and ``repeat`` are
-    those of ``hop.Call``; ``answer`` is the failure that a server answered
+    those of ``hop.Call``; ``begins`` says that it is not a call of a request
+    at our server, and ``answer`` is the failure that a server answered
     last.
     """
 
@@ -59,6 +60,7 @@
         "origin",
         "rank",
         "repeat",
+        "begins",
         "answer",
     )
 
@@ -75,6 +77,7 @@
         self.origin = 0
         self.rank = 0
         self.repeat = False
+        self.begins = False
         self.answer = None
 
 
@@ -239,10 +242,11 @@
             work.over = True
             self.refuse_early(exchange, "the node stops")
             return False
+        work.begins = True
         key = work.origin = self.keys[route.name]
         work.rank = 2 * route.priority + 1
         admitted = self.admission.admits(key)
-        self.meter.began(key, admitted=admitted)
+        self.meter.began(key)
         if not admitted:
             work.over = True
             left = work.deadline - self.clock.seconds()
@@ -422,6 +426,8 @@
     def finish(self, work: Forwarding, status: int, head: bytes, body: bytes):
         """Answer the client and forget the request."""
         self.close(work)
+        if work.begins and status < 500:
+            self.meter.succeeded(work.origin)
         self.metrics.observe_request(
             f"{status // 100}xx",
             self.clock.seconds() - work.exchange.arrived,
--- a/flamingosail/proxy/overload.py
+++ b/flamingosail/proxy/overload.py
@@ -22,17 +22,19 @@
 # Rates and usage forget with this time constant; the calls of a request
 # follow it within this time.
 MEMORY_SECONDS = 1.5
-# What a request of a route costs changes with its servers' speed only.
-COST_MEMORY_SECONDS = 3.0
+# What a request costs rises only with slower servers; what is seen to rise
+# fast is wasted work.
+COST_RISE_SECONDS = 6.0
+COST_FALL_SECONDS = 1.5
 # Share of the slots that admitted requests may take; the rest takes up the
 # randomness of arrivals.
 TARGET_FILL = 0.92
-LOWEST_FILL = 0.5
+LOWEST_FILL = 0.6
 # Per computation, while more requests wait at the gates of a service than
 # this share of its slots, and while fewer do.
-LONG_QUEUE = 0.35
-FILL_DECREASE = 0.96
-FILL_INCREASE = 0.01
+LONG_QUEUE = 1.0
+FILL_DECREASE = 0.95
+FILL_INCREASE = 0.03
 # A little of each route always passes, so that costs stay known.
 LOWEST_SHARE = 0.02
 # A service is part of a route's cost above this many slot seconds a request.
@@ -48,8 +50,9 @@
 class LoadReport(Struct, array_like=True, gc=False):
     """What one node saw lately.
 
-    ``offered`` and ``admitted`` are requests per second that begin at the
-    node, by the key of their route, in tenths; ``usage`` is the number of
+    ``offered`` are the requests per second that begin at the node, by the
+    key of their route, in tenths, ``completed`` those of them that a server
+    answered with success; ``usage`` is the number of
     slots of the node's server that the requests of a route take, in
     hundredths.
     """
@@ -58,7 +61,7 @@
     room: int = 0
     waiting: int = 0
     offered: dict[int, int] = {}
-    admitted: dict[int, int] = {}
+    completed: dict[int, int] = {}
     usage: dict[int, int] = {}
 
 
@@ -75,14 +78,16 @@
         self.aged_at = clock.seconds()
         self.started = self.aged_at
         self.offered: dict[int, float] = {}
-        self.admitted: dict[int, float] = {}
+        self.completed: dict[int, float] = {}
         self.used: dict[int, float] = {}
 
-    def began(self, key: int, *, admitted: bool):
+    def began(self, key: int):
         """Count a request that begins here."""
         self.offered[key] = self.offered.get(key, 0.0) + 1.0
-        if admitted:
-            self.admitted[key] = self.admitted.get(key, 0.0) + 1.0
+
+    def succeeded(self, key: int):
+        """Count a request that began here and was served."""
+        self.completed[key] = self.completed.get(key, 0.0) + 1.0
 
     def served(self, key: int, seconds: float):
         """Count the time that a request took at our server."""
@@ -100,7 +105,7 @@
         scales = (RATE_SCALE, RATE_SCALE, USAGE_SCALE)
         rates = []
         for sums, scale in zip(
-            (self.offered, self.admitted, self.used), scales, strict=True
+            (self.offered, self.completed, self.used), scales, strict=True
         ):
             rate = {}
             for key in list(sums):
@@ -120,14 +125,21 @@
     def __init__(self):
         self.room = 0
         self.waiting = 0
+        self.waiting_before = 0
         self.fill = TARGET_FILL
 
     def adapt(self):
-        """Lower the target while requests queue, else raise it slowly."""
+        """Lower the target while a long queue does not shrink.
+
+        A queue that shrinks was caused by what is over; lowering the target
+        for it would leave slots empty afterwards.
+        """
         if self.waiting > LONG_QUEUE * self.room:
-            self.fill = max(LOWEST_FILL, self.fill * FILL_DECREASE)
+            if self.waiting >= self.waiting_before:
+                self.fill = max(LOWEST_FILL, self.fill * FILL_DECREASE)
         else:
             self.fill = min(TARGET_FILL, self.fill + FILL_INCREASE)
+        self.waiting_before = self.waiting
 
 
 class Admission:
@@ -168,15 +180,15 @@
         now = self.clock.seconds()
         elapsed, self.computed_at = now - self.computed_at, now
         offered: dict[int, float] = {}
-        admitted: dict[int, float] = {}
+        completed: dict[int, float] = {}
         usage: dict[tuple[int, str], float] = {}
         for load in self.services.values():
             load.room = load.waiting = 0
         for report in reports:
             for key, rate in report.offered.items():
                 offered[key] = offered.get(key, 0.0) + rate / RATE_SCALE
-            for key, rate in report.admitted.items():
-                admitted[key] = admitted.get(key, 0.0) + rate / RATE_SCALE
+            for key, rate in report.completed.items():
+                completed[key] = completed.get(key, 0.0) + rate / RATE_SCALE
             if not report.room:
                 continue
             load = self.services.setdefault(report.service, ServiceLoad())
@@ -185,7 +197,7 @@
             for key, used in report.usage.items():
                 pair = (key, report.service)
                 usage[pair] = usage.get(pair, 0.0) + used / USAGE_SCALE
-        self.learn(elapsed, admitted, usage)
+        self.learn(elapsed, completed, usage)
         shares: dict[int, float] = {}
         self.binding.clear()
         for service, load in self.services.items():
@@ -194,10 +206,18 @@
                 self.share_out(service, load, offered, priorities, shares)
         self.shares = shares
 
-    def learn(self, elapsed: float, admitted: dict, usage: dict):
-        """Move the costs of the routes that are in use to what is seen."""
-        weight = 1 - exp(-elapsed / COST_MEMORY_SECONDS)
-        for key, rate in admitted.items():
+    def learn(self, elapsed: float, completed: dict, usage: dict):
+        """Move the costs of the routes that are in use to what is seen.
+
+        What is seen is the usage by requests that were served. Under
+        overload it holds wasted work as well, and is too high until the
+        shares have ended that. Divided by all that began, it would be too
+        low, since what waits in vain uses nothing, and nothing would ever be
+        refused.
+        """
+        rising = 1 - exp(-elapsed / COST_RISE_SECONDS)
+        falling = 1 - exp(-elapsed / COST_FALL_SECONDS)
+        for key, rate in completed.items():
             if rate < KNOWN_RATE:
                 continue
             for service in self.services:
@@ -207,6 +227,7 @@
                 if known is None:
                     self.costs[pair] = seen
                 else:
+                    weight = rising if seen > known else falling
                     self.costs[pair] = known + weight * (seen - known)
 
     def share_out(
--- a/flamingosail/proxy/timeouts.py
+++ b/flamingosail/proxy/timeouts.py
@@ -26,12 +26,17 @@
         self.heap: list = []
         self.numbers = count()
         self.timer = None
+        self.due = 0.0
 
     def add(self, when: float, item):
         """Watch an item until ``when``, in the reactor's time."""
         heappush(self.heap, (when, next(self.numbers), item))
         if self.timer is None:
             self.arm()
+        elif when < self.due - GRAIN_SECONDS:
+            self.due = when
+            wait = when - self.clock.seconds()
+            self.timer.reset(max(wait, GRAIN_SECONDS))
 
     def arm(self):
         """Start the timer for the next item that is not over."""
@@ -39,7 +44,8 @@
         while heap and heap[0][2].over:
             heappop(heap)
         if heap:
-            wait = heap[0][0] - self.clock.seconds()
+            self.due = heap[0][0]
+            wait = self.due - self.clock.seconds()
             self.timer = self.clock.callLater(
                 max(wait, GRAIN_SECONDS), self.fire
             )
--- /dev/null
+++ b/tests/proxyfakes.py
@@ -0,0 +1,136 @@
+"""Fakes for tests of the path of a request: dialect, gate, servers."""
+
+from types import SimpleNamespace
+
+from twisted.internet.testing import MemoryReactorClock
+from twisted.internet.testing import StringTransport
+
+from flamingosail.proxy.backendserver import ServerAnswer
+from flamingosail.proxy.dialect import Dialect
+from flamingosail.proxy.gate import Gate
+from flamingosail.proxy.gate import Job
+from flamingosail.proxy.gate import ServerReport
+from flamingosail.proxy.nodemetrics import NodeMetrics
+from flamingosail.proxy.overload import LoadMeter
+from flamingosail.proxy.routes import Route
+from flamingosail.proxy.routes import WeightedService
+
+DIALECT = Dialect(
+    request_id=b"x-id",
+    deadline=b"x-deadline",
+    expected_instance=b"x-expected",
+    caller_service=b"x-caller",
+    not_executed=b"x-not-executed",
+    proof=b"x-proof",
+    load=b"x-load",
+    instance=b"x-instance",
+)
+
+
+class ClosingTransport(StringTransport):
+    """A transport that notes how it was closed."""
+
+    closed = aborted = False
+
+    def loseConnection(self):  # noqa: N802 - named by twisted
+        self.closed = True
+
+    def abortConnection(self):  # noqa: N802 - named by twisted
+        self.aborted = True
+
+    def setTcpNoDelay(self, enabled):  # noqa: N802 - named by twisted
+        pass
+
+    def setTcpKeepAlive(self, enabled):  # noqa: N802 - named by twisted
+        pass
+
+    def getHandle(self):  # noqa: N802 - named by twisted
+        return SimpleNamespace(setsockopt=lambda *args: None)
+
+
+class FakePool:
+    """Takes the requests that a gate sends."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, request):
+        request.written = True
+        self.sent.append(request)
+
+    def close_idle(self):
+        pass
+
+
+def make_route(**changes) -> Route:
+    """Return a route; the arguments replace its fields."""
+    fields = {
+        "name": "r-read",
+        "services": (WeightedService(service="histbook", weight=1.0),),
+        "idempotent": True,
+        "timeout_seconds": 2.0,
+        "objective_seconds": 1.0,
+        "priority": 1,
+        "max_attempts": 2,
+    }
+    return Route(**{**fields, **changes})
+
+
+def make_gate(clock=None, *, pool=None, on_change=None) -> Gate:
+    """Return a gate without sockets."""
+    clock = clock or MemoryReactorClock()
+    return Gate(
+        clock=clock,
+        pool=pool or FakePool(),
+        dialect=DIALECT,
+        meter=LoadMeter(clock=clock),
+        metrics=NodeMetrics(),
+        drain_seconds=2.0,
+        on_change=on_change or (lambda: None),
+    )
+
+
+def make_report(**changes) -> ServerReport:
+    """Return a report of a ready server."""
+    fields = {
+        "instance": "i-1",
+        "service": "histbook",
+        "born": 1000,
+        "sequence": 1,
+        "state": "ready",
+        "slots": 2,
+        "cold_until": 0.0,
+    }
+    return ServerReport(**{**fields, **changes})
+
+
+def make_job(ends: list, **changes) -> Job:
+    """Return a job whose end is appended to ``ends``."""
+    fields = {
+        "request_id": b"a",
+        "service": "histbook",
+        "head": b"GET /a HTTP/1.1\r\nx-id: a\r\n",
+        "body": b"",
+        "framed": False,
+        "deadline": 1.0,
+        "idempotent": True,
+        "origin": 7,
+        "rank": 3,
+        "repeat": False,
+        "on_end": lambda job, *end: ends.append((job.request_id, *end)),
+    }
+    return Job(**{**fields, **changes})
+
+
+def make_answer(**changes) -> ServerAnswer:
+    """Return a successful answer of a server."""
+    fields = {
+        "status": 200,
+        "head": b"x-proof: p\r\n",
+        "body": b"whole",
+        "proven": True,
+        "not_executed": False,
+        "load": None,
+        "instance": None,
+    }
+    return ServerAnswer(**{**fields, **changes})
--- /dev/null
+++ b/tests/test_proxy_connections.py
@@ -0,0 +1,248 @@
+"""Tests of the connections of clients and to the backend server."""
+
+from testtools import TestCase
+from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionLost
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
+
+from flamingosail.proxy.backendserver import ServerConnection
+from flamingosail.proxy.backendserver import ServerPool
+from flamingosail.proxy.backendserver import ServerRequest
+from flamingosail.proxy.client import ClientListener
+from flamingosail.proxy.routes import ClientLimits
+from flamingosail.settings import Address
+from tests.proxyfakes import ClosingTransport
+from tests.proxyfakes import DIALECT
+
+
+class Handler:
+    """Keeps the exchanges that it gets."""
+
+    def __init__(self):
+        self.limits = ClientLimits(max_header_bytes=1000, max_body_bytes=2000)
+        self.exchanges = []
+        self.gone = []
+
+    def handle(self, exchange):
+        self.exchanges.append(exchange)
+
+    def cancelled(self, exchange):
+        self.gone.append(exchange.request_id)
+
+
+def request(name: str, more: str = "") -> bytes:
+    """Return a GET request with the given id."""
+    return (
+        f"GET /{name} HTTP/1.1\r\nHost: h\r\nx-id: {name}\r\n{more}\r\n"
+    ).encode()
+
+
+class ClientConnectionTest(TestCase):
+    """Guards answers against being crossed, lost or cut."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = MemoryReactorClock()
+        self.handler = Handler()
+        self.listener = ClientListener(
+            clock=self.clock, dialect=DIALECT, handler=self.handler
+        )
+        self.connection = self.listener.buildProtocol(None)
+        self.transport = ClosingTransport()
+        self.connection.makeConnection(self.transport)
+
+    def receive(self, data: bytes):
+        self.connection.dataReceived(data)
+
+    def written(self) -> bytes:
+        return self.transport.value()
+
+    def test_pipelined_answers_keep_the_order_of_the_requests(self):
+        self.receive(request("a") + request("b"))
+        first, second = self.handler.exchanges
+        second.answer(200, b"", b"second")
+        self.assertEqual(b"", self.written())
+        first.answer(200, b"", b"first")
+        self.assertLess(
+            self.written().index(b"first"), self.written().index(b"second")
+        )
+
+    def test_a_stop_cuts_no_pipelined_request(self):
+        """Requests behind a closing answer are sent again by the client."""
+        self.receive(request("a") + request("b"))
+        self.listener.draining = True
+        first, second = self.handler.exchanges
+        first.answer(200, b"", b"first")
+        self.assertNotIn(b"Connection: close", self.written())
+        second.answer(200, b"", b"second")
+        self.assertEqual(1, self.written().count(b"Connection: close"))
+        self.assertTrue(self.transport.closed)
+
+    def test_a_client_that_leaves_cancels_all_its_requests(self):
+        self.receive(request("a") + request("b"))
+        self.connection.connectionLost(Failure(ConnectionDone()))
+        self.assertEqual([b"a", b"b"], self.handler.gone)
+
+    def test_a_request_is_handled_only_when_its_body_is_here(self):
+        self.receive(
+            b"POST /a HTTP/1.1\r\nHost: h\r\nx-id: a\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+        )
+        self.assertEqual([], self.handler.exchanges)
+        self.receive(b"2\r\nde\r\n0\r\n\r\n")
+        self.assertEqual(b"abcde", self.handler.exchanges[0].body)
+        self.assertEqual(0, self.listener.held_bytes)
+
+    def test_headers_that_the_node_sets_are_not_passed_on(self):
+        self.receive(
+            request(
+                "a",
+                "x-caller: forged\r\nx-expected: i-9\r\nx-deadline: 50\r\n"
+                "Connection: keep-alive\r\nAccept: text/plain\r\n",
+            )
+        )
+        head = b"".join(self.handler.exchanges[0].head)
+        self.assertEqual(
+            b"Host: h\r\nx-id: a\r\nAccept: text/plain\r\n",
+            head if b"Host" in head else b"Host: h\r\n" + head,
+        )
+        self.assertEqual(50.0, self.handler.exchanges[0].left_ms)
+
+    def status(self, data: bytes) -> bytes:
+        self.receive(data)
+        return self.written().partition(b"\r\n")[0]
+
+    def test_a_request_without_id_is_answered_400(self):
+        line = self.status(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertIn(b"400", line)
+        self.assertTrue(self.transport.closed)
+
+    def test_two_lengths_are_answered_400(self):
+        line = self.status(
+            b"POST /a HTTP/1.1\r\nHost: h\r\nx-id: a\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b"
+        )
+        self.assertIn(b"400", line)
+        self.assertEqual([], self.handler.exchanges)
+
+    def test_a_long_header_is_answered_431(self):
+        line = self.status(request("a", f"X-Long: {'x' * 2000}\r\n"))
+        self.assertIn(b"431", line)
+
+    def test_a_long_body_is_answered_413(self):
+        line = self.status(
+            b"POST /a HTTP/1.1\r\nHost: h\r\nx-id: a\r\n"
+            b"Content-Length: 2001\r\n\r\n"
+        )
+        self.assertIn(b"413", line)
+
+    def test_a_slow_header_is_answered_408(self):
+        self.receive(b"GET /a HTTP/1.1\r\n")
+        self.clock.advance(3.5)
+        self.listener.sweep()
+        self.assertIn(b"408", self.written())
+
+    def test_an_idle_connection_outlives_what_clients_use(self):
+        self.receive(request("a"))
+        self.handler.exchanges[0].answer(200, b"")
+        self.clock.advance(15.0)
+        self.listener.sweep()
+        self.assertFalse(self.transport.closed)
+        self.clock.advance(3.0)
+        self.listener.sweep()
+        self.assertTrue(self.transport.closed)
+
+    def test_garbage_after_a_request_does_not_disturb_its_answer(self):
+        self.receive(request("a") + b"\x00\x01\r\n\r\n")
+        self.handler.exchanges[0].answer(200, b"", b"whole")
+        written = self.written()
+        self.assertLess(written.index(b"whole"), written.index(b"400"))
+
+
+class ServerConnectionTest(TestCase):
+    """Guards against answers of other requests and incomplete ones."""
+
+    def setUp(self):
+        super().setUp()
+        self.pool = ServerPool(
+            reactor=MemoryReactorClock(),
+            dialect=DIALECT,
+            address=Address("127.0.0.1", 80),
+        )
+        self.connection = ServerConnection(pool=self.pool)
+        self.transport = ClosingTransport()
+        self.connection.makeConnection(self.transport)
+        self.ends = []
+        self.connection.send(self.request(b"b"))
+
+    def request(self, request_id: bytes) -> ServerRequest:
+        return ServerRequest(
+            request_id=request_id,
+            data=b"GET / HTTP/1.1\r\n\r\n",
+            idempotent=True,
+            is_head=False,
+            on_end=lambda request, answer, reason: self.ends.append(
+                (answer and answer.body, reason)
+            ),
+        )
+
+    def answer(self, request_id: str, body: str) -> bytes:
+        return (
+            f"HTTP/1.1 200 OK\r\nx-id: {request_id}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}"
+        ).encode()
+
+    def test_a_late_answer_to_another_request_is_skipped(self):
+        self.connection.dataReceived(self.answer("a", "former"))
+        self.assertEqual([], self.ends)
+        self.connection.dataReceived(self.answer("b", "own"))
+        self.assertEqual([(b"own", "")], self.ends)
+        self.assertTrue(self.transport.aborted)
+
+    def test_an_answer_is_found_behind_a_late_one(self):
+        self.connection.dataReceived(
+            self.answer("a", "former") + self.answer("b", "own")
+        )
+        self.assertEqual([(b"own", "")], self.ends)
+
+    def test_surplus_bytes_end_the_connection(self):
+        self.connection.dataReceived(self.answer("b", "own") + b"HTTP/1.1 2")
+        self.assertEqual([(b"own", "")], self.ends)
+        self.assertTrue(self.transport.aborted)
+        self.assertEqual(0, len(self.pool.idle))
+
+    def test_bytes_between_requests_end_the_connection(self):
+        self.connection.dataReceived(self.answer("b", "own"))
+        self.assertEqual(1, len(self.pool.idle))
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\n")
+        self.assertTrue(self.transport.aborted)
+        self.assertEqual(0, len(self.pool.idle))
+
+    def test_an_answer_without_length_ends_with_its_connection(self):
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nx-id: b\r\n\r\nall")
+        self.assertEqual([], self.ends)
+        self.connection.connectionLost(Failure(ConnectionDone()))
+        self.assertEqual([(b"all", "")], self.ends)
+
+    def test_an_answer_without_length_that_is_reset_is_incomplete(self):
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\nx-id: b\r\n\r\nall")
+        self.connection.connectionLost(Failure(ConnectionLost()))
+        self.assertEqual(None, self.ends[0][0])
+
+    def test_a_truncated_answer_is_incomplete(self):
+        data = self.answer("b", "whole")
+        self.connection.dataReceived(data[:-1])
+        self.connection.connectionLost(Failure(ConnectionDone()))
+        self.assertEqual(None, self.ends[0][0])
+
+    def test_bytes_that_are_no_answer_end_the_request(self):
+        self.connection.dataReceived(b"\x16\x03\x01 not HTTP")
+        self.assertEqual(None, self.ends[0][0])
+        self.assertTrue(self.transport.aborted)
+
+    def test_an_abandoned_request_closes_its_connection(self):
+        request = self.connection.request
+        request.abandon()
+        self.assertTrue(self.transport.aborted)
+        self.assertEqual([], self.ends)
--- /dev/null
+++ b/tests/test_proxy_overload.py
@@ -0,0 +1,145 @@
+"""Tests of the admission at the first node, under load without a network."""
+
+from random import Random
+
+from testtools import TestCase
+from twisted.internet.task import Clock
+
+from flamingosail.proxy.overload import Admission
+from flamingosail.proxy.overload import LoadMeter
+from flamingosail.proxy.overload import route_key
+
+READ, CHECK = route_key("r-read"), route_key("r-check")
+PRIORITIES = {READ: 2, CHECK: 1}
+STEP = 0.05
+
+
+class DeepServiceModel:
+    """Reads cause four calls at a deep service that checks use as well.
+
+    A read is thrown away if one of its calls waits longer than 0.7 s; the
+    deep service has ``slots`` slots and takes 20 ms for each call.
+    """
+
+    def __init__(self, *, slots: int, admission: bool):
+        self.clock = Clock()
+        self.random = Random(7)
+        self.slots = slots
+        self.meter = LoadMeter(clock=self.clock)
+        self.admission = Admission(clock=self.clock) if admission else None
+        self.queue = []
+        self.done = {READ: 0, CHECK: 0}
+        self.asked = {READ: 0, CHECK: 0}
+        self.spent_calls = 0
+
+    def run(self, *, seconds: float, rates: dict[int, float]):
+        """Let requests come at the given rates a second."""
+        reported = 0.0
+        credit = dict.fromkeys(rates, 0.0)
+        for _ in range(round(seconds / STEP)):
+            for key, rate in rates.items():
+                credit[key] += rate * STEP
+                while credit[key] >= 1:
+                    credit[key] -= 1
+                    self.arrive(key)
+            self.serve()
+            self.clock.advance(STEP)
+            reported += STEP
+            if self.admission is not None and reported >= 0.5:
+                reported = 0.0
+                report = self.meter.report("deep", self.slots, len(self.queue))
+                self.admission.compute([report], PRIORITIES)
+
+    def arrive(self, key: int):
+        """Admit a request and queue its calls, those of checks first."""
+        self.asked[key] += 1
+        admitted = self.admission is None or self.admission.admits(key)
+        self.meter.began(key)
+        if admitted:
+            request = {"key": key, "left": 4 if key == READ else 1}
+            now = self.clock.seconds()
+            self.queue.append((PRIORITIES[key], now, request))
+
+    def serve(self):
+        """Serve what fits into a step; late calls end their request."""
+        now = self.clock.seconds()
+        self.queue.sort(key=lambda call: call[:2])
+        for _ in range(round(self.slots * STEP / 0.02)):
+            while self.queue and now - self.queue[0][1] > 0.7:
+                self.queue.pop(0)
+            if not self.queue:
+                return
+            _, _, request = self.queue.pop(0)
+            self.spent_calls += 1
+            self.meter.served(request["key"], 0.02)
+            request["left"] -= 1
+            if request["left"]:
+                # The next call follows when the one before is answered.
+                self.queue.append((PRIORITIES[request["key"]], now, request))
+            else:
+                self.done[request["key"]] += 1
+                self.meter.succeeded(request["key"])
+
+
+class AdmissionTest(TestCase):
+    """Guards against work that is thrown away and against inversion."""
+
+    def test_whole_requests_survive_three_times_the_load(self):
+        rates = {READ: 300.0, CHECK: 100.0}
+        naive = DeepServiceModel(slots=10, admission=False)
+        naive.run(seconds=20, rates=rates)
+        model = DeepServiceModel(slots=10, admission=True)
+        model.run(seconds=20, rates=rates)
+        # The service can do 100 reads a second beside the checks.
+        self.assertGreater(model.done[READ], 0.75 * 20 * 100)
+        self.assertGreater(model.done[READ], naive.done[READ])
+
+    def test_more_urgent_requests_are_served_no_less(self):
+        model = DeepServiceModel(slots=10, admission=True)
+        model.run(seconds=20, rates={READ: 300.0, CHECK: 100.0})
+        share = {key: model.done[key] / model.asked[key] for key in model.done}
+        self.assertGreater(share[CHECK], 0.95)
+        self.assertGreater(share[CHECK], share[READ])
+
+    def test_all_are_admitted_again_soon_after_the_overload(self):
+        model = DeepServiceModel(slots=10, admission=True)
+        model.run(seconds=10, rates={READ: 400.0, CHECK: 100.0})
+        self.assertIn(READ, model.admission.shares)
+        model.run(seconds=5, rates={READ: 60.0, CHECK: 50.0})
+        self.assertEqual({}, model.admission.shares)
+
+    def test_nobody_is_refused_below_the_capacity(self):
+        model = DeepServiceModel(slots=10, admission=True)
+        model.run(seconds=10, rates={READ: 80.0, CHECK: 50.0})
+        self.assertEqual({}, model.admission.shares)
+        self.assertGreater(model.done[READ], 0.97 * model.asked[READ])
+
+    def test_routes_without_calls_there_are_never_refused(self):
+        clock = Clock()
+        admission = Admission(clock=clock)
+        meter = LoadMeter(clock=clock)
+        other = route_key("r-other")
+        for _ in range(100):
+            clock.advance(0.1)
+            for _ in range(10):
+                for key in (READ, other):
+                    meter.began(key)
+                    if admission.admits(key):
+                        meter.succeeded(key)
+                meter.served(READ, 0.1)
+            report = meter.report("deep", 4, 20)
+            admission.compute([report], {READ: 2, other: 2})
+        self.assertIn(READ, admission.shares)
+        self.assertNotIn(other, admission.shares)
+
+    def test_all_nodes_compute_the_same_shares(self):
+        """Nodes that disagree would refuse different parts of a request."""
+        model = DeepServiceModel(slots=10, admission=True)
+        other = Admission(clock=model.clock)
+        model.run(seconds=5, rates={READ: 300.0})
+        for _ in range(40):
+            model.clock.advance(0.5)
+            report = model.meter.report("deep", 10, 0)
+            model.admission.compute([report], PRIORITIES)
+            other.compute([report], PRIORITIES)
+        self.assertEqual(model.admission.shares, other.shares)
