Send header lines over a hop once; cross failure domains for 60 ms of waiting

Of about 1.2 KB for a map tile 450 B are header lines that hardly change, and the request id is sent three times.

Ruled out: compressing bodies, which are random bytes (600 B become 611 B).

Change: header lines are numbered per connection, the request id is sent once; far nodes are pinged each second; a far server must save 60 ms.

--- a/flamingosail/proxy/backendserver.py
+++ b/flamingosail/proxy/backendserver.py
@@ -30,13 +30,16 @@
 
 
 class ServerAnswer:
-    """A complete answer: header lines to pass on, and what they tell."""
+    """A complete answer: header lines to pass on, and what others tell.
+
+    ``proof`` is empty if the server did not mark the answer as its own.
+    """
 
     __slots__ = (
         "status",
         "head",
         "body",
-        "proven",
+        "proof",
         "not_executed",
         "load",
         "instance",
@@ -128,7 +131,7 @@
         self.chunks: list[bytes] = []
         self.size = 0
         self.answer_id = None
-        self.proven = False
+        self.proof = b""
         self.not_executed = False
         self.load = None
         self.instance = None
@@ -203,15 +206,17 @@
             return
         if lower == dialect.request_id:
             self.answer_id = value
-        elif lower == dialect.proof:
-            self.proven = True
-        elif lower == dialect.load:
+            return
+        if lower == dialect.proof:
+            self.proof = value
+            return
+        if lower == dialect.load:
             self.load = value
             return
-        elif lower == dialect.not_executed:
+        if lower == dialect.not_executed:
             self.not_executed = True
             return
-        elif lower == dialect.instance:
+        if lower == dialect.instance:
             self.instance = value
             return
         self.head += (name, b": ", value, b"\r\n")
@@ -275,7 +280,7 @@
             status=self.status,
             head=b"".join(self.head),
             body=chunks[0] if len(chunks) == 1 else b"".join(chunks),
-            proven=self.proven,
+            proof=self.proof,
             not_executed=self.not_executed,
             load=self.load,
             instance=self.instance,
--- a/flamingosail/proxy/balance.py
+++ b/flamingosail/proxy/balance.py
@@ -14,7 +14,7 @@
 
 # Costs are in seconds of latency. A far server is worth its bytes between
 # failure domains if it saves this much waiting.
-FAR_SECONDS = 0.03
+FAR_SECONDS = 0.06
 # What a request waits if as many wait before it as the server has slots.
 WAIT_SECONDS = 0.06
 # Requests arrive at random, so the last slots are seldom free.
--- a/flamingosail/proxy/client.py
+++ b/flamingosail/proxy/client.py
@@ -55,7 +55,8 @@
 class Exchange:
     """One request of a client and its answer.
 
-    ``head`` holds the header lines that are passed on, ``left_ms`` the time
+    ``head`` holds the header lines that are passed on but for the request
+    id, ``left_ms`` the time
     that the client waits (None if not stated) and ``arrived`` the reactor's
     time. ``call`` is for the handler's use.
     """
@@ -69,7 +70,6 @@
         "host",
         "head",
         "body",
-        "framed",
         "left_ms",
         "keep_alive",
         "output",
@@ -85,7 +85,6 @@
         self.host = b""
         self.head: list[bytes] = []
         self.body = b""
-        self.framed = False
         self.left_ms = None
         self.keep_alive = True
         self.output = None
@@ -208,7 +207,8 @@
             if len(value) > REQUEST_ID_BYTES:
                 raise _Rejected(400, "the request id is too long")
             exchange.request_id = value
-        elif lower == dialect.deadline:
+            return
+        if lower == dialect.deadline:
             exchange.left_ms = parse_milliseconds(value)
             return
         elif lower == b"host":
@@ -219,14 +219,12 @@
             if lower == b"expect":
                 if not self.pending:
                     self.transport.write(CONTINUE)
-            elif lower in FRAMING_HEADERS:
-                exchange.framed = True
-                if (
-                    lower == b"content-length"
-                    and value.isdigit()
-                    and int(value) > self.handler.limits.max_body_bytes
-                ):
-                    raise _Rejected(413, "the body is too large")
+            elif (
+                lower == b"content-length"
+                and value.isdigit()
+                and int(value) > self.handler.limits.max_body_bytes
+            ):
+                raise _Rejected(413, "the body is too large")
             return
         elif lower in (dialect.expected_instance, dialect.caller_service):
             return
@@ -411,9 +409,6 @@
             connection.close_if_idle()
 
 
-FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
-
-
 def parse_milliseconds(value: bytes) -> float | None:
     """Return a time in milliseconds, None if it cannot be read."""
     try:
--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -56,6 +56,7 @@
         "runs",
         "attempt",
         "over",
+        "line",
         "head",
         "origin",
         "rank",
@@ -73,6 +74,7 @@
         self.runs = 0
         self.attempt = None
         self.over = False
+        self.line = b""
         self.head = b""
         self.origin = 0
         self.rank = 0
@@ -93,7 +95,7 @@
         self.stream = 0
         self.connection = None
 
-    def ended(self, outcome, status, head, body, reason):
+    def ended(self, outcome, status, proof, head, body, reason):
         """Take in the end of the attempt."""
         self.server.sent -= 1
         if outcome != Outcome.REFUSED:
@@ -104,7 +106,7 @@
         if work.attempt is self:
             work.attempt = None
             self.forwarder.attempt_ended(
-                work, self.server, outcome, status, head, body, reason
+                work, self.server, outcome, status, proof, head, body, reason
             )
 
 
@@ -134,6 +136,8 @@
         self.decisions = DecisionLog(clock=clock, channel="proxy.forward")
         self.keys: dict[str, int] = {}
         self.priorities: dict[int, int] = {}
+        self.id_line = b"%s: %%s\r\n" % dialect.request_id
+        self.proof_line = b"%s: %%s\r\n" % dialect.proof
         self.caller_line = b"%s: %s\r\n" % (
             dialect.caller_service,
             own_service.encode("latin-1", "replace"),
@@ -205,16 +209,8 @@
         work.deadline = exchange.arrived + wait
         if not self.enter(work):
             return
-        work.head = b"".join(
-            (
-                exchange.method,
-                b" ",
-                exchange.target,
-                b" HTTP/1.1\r\n",
-                *exchange.head,
-                self.caller_line,
-            )
-        )
+        work.line = b"%s %s HTTP/1.1\r\n" % (exchange.method, exchange.target)
+        work.head = b"".join((*exchange.head, self.caller_line))
         self.budget.requested(work.service)
         self.in_flight += 1
         self.timeouts.add(work.deadline, work)
@@ -305,6 +301,7 @@
             {
                 "request_id": exchange.request_id,
                 "service": work.service,
+                "line": work.line,
                 "head": work.head,
                 "body": exchange.body,
                 "left_ms": int(left * 1000),
@@ -316,13 +313,24 @@
         )
 
     def attempt_ended(
-        self, work: Forwarding, server, outcome, status, head, body, reason
+        self,
+        work: Forwarding,
+        server,
+        outcome,
+        status,
+        proof,
+        head,
+        body,
+        reason,
     ):
         """Answer the client, or try another server."""
         if work.over:
             return
         if outcome == Outcome.ANSWERED:
             work.runs += 1
+            head += self.id_line % work.exchange.request_id
+            if proof:
+                head += self.proof_line % proof
             servers = self.peers.by_service.get(work.service, ())
             if (
                 status >= 500
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -40,6 +40,8 @@
 SLOT_SHARE = 0.95
 SERVICE_TIME_SMOOTHING = 0.05
 INITIAL_SERVICE_SECONDS = 0.05
+# Methods whose empty body is announced as such (RFC 9110, section 8.6).
+BODY_METHODS = (b"PATCH ", b"POST ", b"PUT ")
 # Servers that left one VM within the time of a delayed report.
 MAX_DEPARTURES = 64
 # A server that refuses connections is tried again after this time.
@@ -79,17 +81,18 @@
 class Job:
     """A request at the gate.
 
-    ``head`` is the request line and header lines; ``origin``, ``rank`` and
+    ``line`` is the request line and ``head`` the header lines but for the
+    request id; ``origin``, ``rank`` and
     ``repeat`` are those of ``hop.Call``. ``on_end`` is called once as
-    ``on_end(job, outcome, status, head, body, reason)``.
+    ``on_end(job, outcome, status, proof, head, body, reason)``.
     """
 
     __slots__ = (
         "request_id",
         "service",
+        "line",
         "head",
         "body",
-        "framed",
         "deadline",
         "idempotent",
         "origin",
@@ -107,9 +110,9 @@
         *,
         request_id: bytes,
         service: str,
+        line: bytes,
         head: bytes,
         body: bytes,
-        framed: bool,
         deadline: float,
         idempotent: bool,
         origin: int,
@@ -120,9 +123,9 @@
     ):
         self.request_id = request_id
         self.service = service
+        self.line = line
         self.head = head
         self.body = body
-        self.framed = framed
         self.deadline = deadline
         self.idempotent = idempotent
         self.origin = origin
@@ -317,23 +320,26 @@
         self.running[job.request_id] = job
         left = job.deadline - now
         lines = [
+            job.line,
             job.head,
-            b"%s: %d\r\n%s: %s\r\n"
+            b"%s: %s\r\n%s: %d\r\n%s: %s\r\n"
             % (
+                self.dialect.request_id,
+                job.request_id,
                 self.dialect.deadline,
                 max(1, int(left * 1000)),
                 self.dialect.expected_instance,
                 self.report.instance.encode("latin-1", "replace"),
             ),
         ]
-        if job.body or job.framed:
+        if job.body or job.line.startswith(BODY_METHODS):
             lines.append(b"Content-Length: %d\r\n" % len(job.body))
         lines += (b"\r\n", job.body)
         request = job.request = ServerRequest(
             request_id=job.request_id,
             data=b"".join(lines),
             idempotent=job.idempotent,
-            is_head=job.head.startswith(b"HEAD "),
+            is_head=job.line.startswith(b"HEAD "),
             on_end=lambda request, answer, reason: self.ended(
                 job, answer, reason
             ),
@@ -362,7 +368,7 @@
                 },
             )
             self.end(job, Outcome.SHED, "another server has the address")
-        elif not answer.proven and answer.status < 300:
+        elif not answer.proof and answer.status < 300:
             self.end(job, Outcome.LOST, "the answer is not the server's")
         else:
             seconds = now - job.started
@@ -374,6 +380,7 @@
                 job,
                 Outcome.ANSWERED,
                 answer.status,
+                answer.proof,
                 answer.head,
                 answer.body,
                 "",
@@ -455,13 +462,13 @@
                 "left_ms": round((job.deadline - self.clock.seconds()) * 1000),
             },
         )
-        self.finish(job, outcome, 0, b"", b"", reason)
+        self.finish(job, outcome, 0, b"", b"", b"", reason)
 
-    def finish(self, job: Job, outcome: int, status, head, body, reason):
+    def finish(self, job: Job, outcome, status, proof, head, body, reason):
         """Report the end of a request once."""
         if not job.over:
             job.over = True
-            job.on_end(job, outcome, status, head, body, reason)
+            job.on_end(job, outcome, status, proof, head, body, reason)
 
     def stop(self):
         """Cancel timers."""
--- a/flamingosail/proxy/hop.py
+++ b/flamingosail/proxy/hop.py
@@ -21,6 +21,7 @@
     "ConfigCopy",
     "ConfigPull",
     "FrameBuffer",
+    "HeaderBlocks",
     "Hello",
     "MAX_FRAME_BYTES",
     "Message",
@@ -35,6 +36,9 @@
 # The largest body that a client may send (64 MiB) and its header.
 MAX_FRAME_BYTES = 68 * 1024 * 1024
 LENGTH_BYTES = 4
+# Bounds what both ends of a connection keep at 256 KiB.
+MAX_BLOCKS = 256
+MAX_BLOCK_BYTES = 1024
 
 
 class Outcome:
@@ -54,9 +58,10 @@
 class Call(Struct, tag=1, array_like=True, gc=False):
     """A request for the backend server beside the receiving node.
 
-    ``head`` is the request line and the header lines, without the empty
-    line. ``left_ms`` is the time left in milliseconds. ``origin`` is the key
-    of the route on which the whole request began, ``rank`` its place in
+    ``line`` is the request line, ``block`` a number for header lines that
+    went over this connection before, and ``head`` those lines the first
+    time; see ``HeaderBlocks``. ``left_ms`` is the time left in
+    milliseconds. ``origin`` is the key of the route on which the whole request began, ``rank`` its place in
     queues (lower is served first), and ``repeat`` says that this call, or
     one that led to it, was sent before.
     """
@@ -64,6 +69,8 @@
     stream: int
     request_id: bytes
     service: str
+    line: bytes
+    block: int
     head: bytes
     body: bytes
     left_ms: int
@@ -76,14 +83,17 @@
 class Reply(Struct, tag=2, array_like=True, gc=False):
     """The end of a call.
 
-    ``head`` holds the header lines of the server's answer; ``reason`` says
-    why there is none. ``running``, ``waiting`` and ``room`` describe the
+    ``proof`` is the server's mark on its answer, ``block`` and ``head`` are
+    its other header lines as in ``Call``; ``reason`` says why there is no
+    answer. ``running``, ``waiting`` and ``room`` describe the
     gate after the call.
     """
 
     stream: int
     outcome: int
     status: int
+    proof: bytes
+    block: int
     head: bytes
     body: bytes
     reason: str
@@ -162,6 +172,48 @@
 _decoder = Decoder(Message)
 
 
+class HeaderBlocks:
+    """Header lines that one end of a connection has sent.
+
+    Requests of one client differ in little but their id, so that their
+    other header lines cross the network once and are a number from then on.
+    """
+
+    def __init__(self):
+        self.numbers: dict[bytes, int] = {}
+        self.blocks: dict[int, bytes] = {}
+
+    def pack(self, head: bytes) -> tuple[int, bytes]:
+        """Return the number of a block, and its lines if they are new.
+
+        The number 0 stands for lines that are not kept.
+        """
+        number = self.numbers.get(head)
+        if number is not None:
+            return number, b""
+        if len(self.numbers) >= MAX_BLOCKS or len(head) > MAX_BLOCK_BYTES:
+            return 0, head
+        number = self.numbers[head] = len(self.numbers) + 1
+        return number, head
+
+    def unpack(self, number: int, head: bytes) -> bytes:
+        """Return the lines that the peer means.
+
+        :raises CodecError: if the number was never sent with its lines.
+        """
+        if not number:
+            return head
+        if head:
+            if len(self.blocks) > MAX_BLOCKS:
+                raise CodecError("too many header blocks")
+            self.blocks[number] = head
+            return head
+        try:
+            return self.blocks[number]
+        except KeyError:
+            raise CodecError(f"header block {number} is unknown") from None
+
+
 def encode_frame(message: Message) -> bytes:
     """Return the bytes of a message with its length before it."""
     body = _encoder.encode(message)
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -23,6 +23,7 @@
 from flamingosail.proxy.hop import ConfigPull
 from flamingosail.proxy.hop import encode_frame
 from flamingosail.proxy.hop import FrameBuffer
+from flamingosail.proxy.hop import HeaderBlocks
 from flamingosail.proxy.hop import Hello
 from flamingosail.proxy.hop import Outcome
 from flamingosail.proxy.hop import Ping
@@ -36,9 +37,12 @@
 
 __all__ = ["LocalServer", "Peer", "PeerTable", "RemoteServer"]
 
-PING_SECONDS = 0.5
-# A connection without any input for this long gets no new calls.
-SUSPECT_SECONDS = 1.2
+TICK_SECONDS = 0.5
+# Bytes between failure domains are dear, and near servers are used first.
+NEAR_PING_SECONDS = 0.5
+FAR_PING_SECONDS = 1.0
+# A connection without any input for so many pings gets no new calls.
+SUSPECT_PINGS = 1.8
 # A connection without any input for this long is closed; its calls are lost.
 SILENT_SECONDS = 2.5
 DIAL_TIMEOUT_SECONDS = 1.0
@@ -98,6 +102,8 @@
     def __init__(self, *, table: "PeerTable"):
         self.table = table
         self.frames = FrameBuffer()
+        self.sent_blocks = HeaderBlocks()
+        self.received_blocks = HeaderBlocks()
         self.last_input = table.clock.seconds()
         self.open = False
 
@@ -116,13 +122,11 @@
         """Handle the messages that are complete."""
         self.last_input = self.table.clock.seconds()
         try:
-            messages = self.frames.feed(data)
+            for message in self.frames.feed(data):
+                self.received(message)
         except CodecError as error:
             log.warning("peer sent garbage", extra={"cause": str(error)})
             self.transport.abortConnection()
-            return
-        for message in messages:
-            self.received(message)
 
     def received(self, message):
         """Handle one message."""
@@ -187,9 +191,9 @@
         job = Job(
             request_id=call.request_id,
             service=call.service,
-            head=call.head,
+            line=call.line,
+            head=self.received_blocks.unpack(call.block, call.head),
             body=call.body,
-            framed=bool(call.body),
             deadline=self.table.clock.seconds() + call.left_ms / 1000,
             idempotent=call.idempotent,
             origin=call.origin,
@@ -201,15 +205,20 @@
         self.jobs[call.stream] = job
         self.table.gate.take(job)
 
-    def ended(self, job: Job, outcome, status, head, body, reason):
+    def ended(self, job: Job, outcome, status, proof, head, body, reason):
         """Send the reply of a call."""
         self.jobs.pop(job.stream, None)
+        if not self.open:
+            return
+        block, head = self.sent_blocks.pack(head)
         gate = self.table.gate
         self.send(
             Reply(
                 job.stream,
                 outcome,
                 status,
+                proof,
+                block,
                 head,
                 body,
                 reason,
@@ -242,7 +251,12 @@
         self.peer.disconnected(self)
         for attempt in calls.values():
             attempt.ended(
-                Outcome.LOST, 0, b"", b"", "the connection to the node ended"
+                Outcome.LOST,
+                0,
+                b"",
+                b"",
+                b"",
+                "the connection to the node ended",
             )
 
     def received(self, message):
@@ -251,12 +265,14 @@
         peer = self.peer
         if kind is Reply:
             peer.take_report(message.running, message.waiting, message.room)
+            head = self.received_blocks.unpack(message.block, message.head)
             attempt = self.calls.pop(message.stream, None)
             if attempt is not None:
                 attempt.ended(
                     message.outcome,
                     message.status,
-                    message.head,
+                    message.proof,
+                    head,
                     message.body,
                     message.reason,
                 )
@@ -273,12 +289,17 @@
         elif kind is ConfigCopy:
             self.table.on_config(message.document)
 
+    def call(self, stream: int, fields: dict):
+        """Send a call."""
+        block, head = self.sent_blocks.pack(fields["head"])
+        self.send(Call(**{**fields, "head": head}, stream=stream, block=block))
+
     def tick(self, now: float) -> bool:
         """Ping the peer; return False if it has been silent too long."""
         silent = now - self.last_input
         if silent > SILENT_SECONDS:
             return False
-        if now - self.pinged >= PING_SECONDS * 0.9:
+        if now - self.pinged >= self.peer.ping_seconds * 0.9:
             self.pinged = now
             self.send(
                 Ping(
@@ -384,6 +405,12 @@
         )
         self.table.changed(self)
 
+    @property
+    def ping_seconds(self) -> float:
+        """Seconds between pings."""
+        near = self.failure_domain == self.table.local.failure_domain
+        return NEAR_PING_SECONDS if near else FAR_PING_SECONDS
+
     @property
     def usable(self) -> bool:
         """Whether calls may be sent now."""
@@ -392,7 +419,7 @@
             connection is not None
             and connection.open
             and self.table.clock.seconds() - connection.last_input
-            < SUSPECT_SECONDS
+            < SUSPECT_PINGS * self.ping_seconds
         )
 
     def call(self, attempt, message_fields: dict):
@@ -402,7 +429,7 @@
         attempt.stream = stream
         attempt.connection = connection
         connection.calls[stream] = attempt
-        connection.send(Call(stream=stream, **message_fields))
+        connection.call(stream, message_fields)
 
     def cancel(self, attempt):
         """Tell the peer that nobody waits for a call."""
@@ -451,9 +478,9 @@
         job = Job(
             request_id=fields["request_id"],
             service=fields["service"],
+            line=fields["line"],
             head=fields["head"],
             body=fields["body"],
-            framed=bool(fields["body"]),
             deadline=self.gate.clock.seconds() + fields["left_ms"] / 1000,
             idempotent=fields["idempotent"],
             origin=fields["origin"],
@@ -521,7 +548,7 @@
 
     def start(self):
         """Dial and ping from now on."""
-        self.loop.start(PING_SECONDS, now=True)
+        self.loop.start(TICK_SECONDS, now=True)
 
     def stop(self):
         """Stop pinging."""
@@ -593,7 +620,7 @@
             return
         now = self.clock.seconds()
         asked, when = self.pulled
-        if version > asked or now - when > PING_SECONDS:
+        if version > asked or now - when > TICK_SECONDS:
             self.pulled = (version, now)
             connection.send(ConfigPull(own))
 
