--- a/flamingosail/proxy/hop.py
+++ b/flamingosail/proxy/hop.py
@@ -61,9 +61,9 @@
     ``line`` is the request line, ``block`` a number for header lines that
     went over this connection before, and ``head`` those lines the first
     time; see ``HeaderBlocks``. ``left_ms`` is the time left in
-    milliseconds. ``origin`` is the key of the route on which the whole request began, ``rank`` its place in
-    queues (lower is served first), and ``repeat`` says that this call, or
-    one that led to it, was sent before.
+    milliseconds. ``origin`` is the key of the route on which the whole
+    request began, ``rank`` its place in queues (lower is served first), and
+    ``repeat`` says that this call, or one that led to it, was sent before.
     """
 
     stream: int
@@ -188,6 +188,8 @@
 
         The number 0 stands for lines that are not kept.
         """
+        if not head:
+            return 0, head
         number = self.numbers.get(head)
         if number is not None:
             return number, b""
