--- a/flamingosail/proxy/client.py
+++ b/flamingosail/proxy/client.py
@@ -29,6 +29,8 @@
 
 # Requests of one connection that may wait for their answers at a time.
 MAX_PIPELINED = 64
+# A client that does not read its last answer for this long is cut off.
+CLOSE_SECONDS = 10.0
 SWEEP_SECONDS = 0.5
 # Clients that keep to the limits must not meet the close of the connection.
 IDLE_MARGIN_SECONDS = 2.0
@@ -211,7 +213,7 @@
         if lower == dialect.deadline:
             exchange.left_ms = parse_milliseconds(value)
             return
-        elif lower == b"host":
+        if lower == b"host":
             if exchange.host:
                 raise _Rejected(400, "the host is repeated")
             exchange.host = value
@@ -338,7 +340,10 @@
 
     def sweep(self, now: float, limits: ClientLimits):
         """Close the connection if its client is too slow or idle."""
-        if self.exchange is not None and not self.ended:
+        if self.ended:
+            if now - self.last_used > CLOSE_SECONDS:
+                self.transport.abortConnection()
+        elif self.exchange is not None:
             if (
                 self.exchange.arrived is None
                 and now - self.begun > limits.header_timeout_seconds
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -78,6 +78,7 @@
         self.table: RouteTable | None = None
         self.document = b""
         self.stopping_since: float | None = None
+        self.stop_seconds = config.stop_seconds
         self.ports = []
         self.meter = LoadMeter(clock=reactor)
         self.metrics = NodeMetrics()
@@ -262,7 +263,7 @@
         now = self.reactor.seconds()
         elapsed = now - self.stopping_since
         self.forwarder.closed = self.gate.closed = True
-        late = elapsed >= self.config.stop_seconds - STOP_MARGIN_SECONDS
+        late = elapsed >= self.stop_seconds - STOP_MARGIN_SECONDS
         idle = not (
             self.forwarder.in_flight or self.gate.running or self.gate.waiting
         )
