Start real nodes of the platform in a test, with stand-ins

Change: stand-ins of the store and of backend servers, a driver of processes on loopback, and a test of the whole path, of SIGTERM on a kept connection and of the metrics.

--- /dev/null
+++ b/experiments/platformcluster.py
@@ -0,0 +1,224 @@
+"""Real nodes of the platform with stand-ins, as processes on loopback.
+
+Each VM is a node and a backend server with addresses of their own. Between
+nodes, and between nodes and the store, lie proxies that a test can disturb.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+
+__all__ = ["Cluster", "free_ports", "Vm"]
+
+ROOT = Path(__file__).resolve().parent.parent
+STOP_SECONDS = 8.0
+HOST = "127.0.0.1"
+FAILURE_DOMAINS = ("fd-a", "fd-b", "fd-c")
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    import socket
+
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind((HOST, 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Vm:
+    """The ports of one VM."""
+
+    name: str
+    service: str
+    failure_domain: str
+    clients: int
+    peers: int
+    advertised: int
+    ready: int
+    control: int
+    metrics: int
+    server: int
+
+
+class Cluster:
+    """Starts and ends the processes; ends only those that it started.
+
+    ``layout`` maps a service to its number of VMs. ``store_port`` is where
+    nodes reach the store; a proxy may stand there.
+    """
+
+    def __init__(self, *, layout: dict[str, int], folder: Path | None = None):
+        self.folder = folder or Path(tempfile.mkdtemp(prefix="cluster-"))
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.vms: dict[str, Vm] = {}
+        total = sum(layout.values())
+        ports = free_ports(8 * total + 2)
+        self.real_store_port, self.store_port = ports.pop(), ports.pop()
+        for service, count in layout.items():
+            for number in range(count):
+                name = f"{service}-{number}"
+                self.vms[name] = Vm(
+                    name=name,
+                    service=service,
+                    failure_domain=FAILURE_DOMAINS[
+                        number % len(FAILURE_DOMAINS)
+                    ],
+                    **{
+                        field: ports.pop()
+                        for field in (
+                            "clients",
+                            "peers",
+                            "advertised",
+                            "ready",
+                            "control",
+                            "metrics",
+                            "server",
+                        )
+                    },
+                )
+
+    # Processes.
+
+    def spawn(self, name: str, arguments: list, **environment):
+        """Start a process whose output goes to a file of its name."""
+        path = f"{ROOT / 'platform'}:{ROOT}"
+        with (self.folder / f"{name}.log").open("ab") as output:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, *map(str, arguments)],
+                stdout=output,
+                stderr=output,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, "PYTHONPATH": path, **environment},
+            )
+
+    def start_store(self, port: int | None = None):
+        """Start the stand-in of the store."""
+        port = port or self.real_store_port
+        self.spawn("store", ["-m", "platform_standins.store", HOST, port])
+
+    def start_node(self, name: str, **bounds: float):
+        """Start a node with its settings."""
+        vm = self.vms[name]
+        settings = self.folder / f"{name}.conf"
+        values = {
+            "node": name,
+            "zone": vm.failure_domain,
+            "service": vm.service,
+            "listen.outbound": f"{HOST}:{vm.clients}",
+            "listen.inbound": f"{HOST}:{vm.peers}",
+            "listen.ready": f"{HOST}:{vm.ready}",
+            "listen.control": f"{HOST}:{vm.control}",
+            "appAddr": f"{HOST}:{vm.server}",
+            "platform.address": f"{HOST}:{self.store_port}",
+            "bounds": "drainS=2,graceS=6",
+        }
+        settings.write_text(
+            "".join(f"{key}={value}\n" for key, value in values.items())
+        )
+        self.spawn(
+            f"node-{name}",
+            [
+                ROOT / "platform" / "node.py",
+                f"--metrics-port={vm.metrics}",
+                f"--advertised={HOST}:{vm.advertised}",
+            ],
+            FLAMINGOSAIL_BOOT=str(settings),
+        )
+
+    def start_server(self, name: str, **config):
+        """Start the backend server of a VM."""
+        vm = self.vms[name]
+        fields = {
+            "service": vm.service,
+            "host": HOST,
+            "port": vm.server,
+            "control_port": vm.control,
+            "node_port": vm.clients,
+            **config,
+        }
+        self.spawn(
+            f"server-{name}",
+            ["-m", "platform_standins.server", json.dumps(fields)],
+        )
+
+    def signal(self, name: str, number: int):
+        """Send a signal to a process that this cluster started."""
+        process = self.processes.get(name)
+        if process is not None and process.poll() is None:
+            process.send_signal(number)
+
+    def stop(self):
+        """End all processes."""
+        for name in self.processes:
+            self.signal(name, signal.SIGCONT)
+            self.signal(name, signal.SIGTERM)
+        for name, process in self.processes.items():
+            with suppress(subprocess.TimeoutExpired):
+                process.wait(0.5 if name.startswith("server") else 0.1)
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+
+    def output(self, name: str) -> str:
+        """Return what a process wrote."""
+        path = self.folder / f"{name}.log"
+        return path.read_text(errors="replace") if path.exists() else ""
+
+    def runs(self) -> list[tuple[str, str, str]]:
+        """Return id, instance and service of each run at the servers."""
+        return [
+            tuple(line.split()[1:4])
+            for name in self.processes
+            if name.startswith("server-")
+            for line in self.output(name).splitlines()
+            if line.startswith("RAN ")
+        ]
+
+
+def configuration(version: int, front: str, deep: str) -> dict:
+    """Return a configuration with an order, a read and a deep route."""
+
+    def route(name, prefix, kind, service, priority, timeout, attempts):
+        return {
+            "name": name,
+            "pathPrefix": prefix,
+            "routeType": kind,
+            "service": service,
+            "priority": priority,
+            "timeoutS": timeout,
+            "targetLatencyS": timeout / 2,
+            "maxAttempts": attempts,
+        }
+
+    return {
+        "version": version,
+        "services": [{"name": front}, {"name": deep}],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 1048576,
+            "headerTimeoutS": 3,
+            "idleTimeoutS": 15,
+        },
+        "virtualHosts": [
+            {
+                "host": "soak.example",
+                "paths": [
+                    route("r-order", "/order/", "unsafe", front, 0, 2.0, 1),
+                    route("r-read", "/read/", "safe", front, 2, 2.0, 2),
+                    route("r-deep", "/deep/", "safe", deep, 1, 1.0, 2),
+                ],
+            }
+        ],
+    }
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -40,7 +40,8 @@
 class NodeConfig:
     """Where a node is and where it listens.
 
-    ``server`` is the address of the backend server of the VM; times are in
+    ``advertised`` is where other nodes reach ``peers``. ``server`` is the
+    address of the backend server of the VM; times are in
     seconds: ``drain_seconds`` after an acknowledged leaving, a server gets no
     request, ``stop_seconds`` after SIGTERM the process is killed.
     """
@@ -51,6 +52,7 @@
     service: str
     clients: Address
     peers: Address
+    advertised: Address
     server: Address
     drain_seconds: float
     stop_seconds: float
@@ -100,7 +102,7 @@
             reactor=reactor,
             gate=self.gate,
             local=self.local,
-            own_address=config.peers,
+            own_address=config.advertised,
             hello=self.hello,
             status=self.status,
             load_report=self.load_report,
@@ -151,7 +153,7 @@
             config.name,
             config.incarnation,
             config.failure_domain,
-            str(config.peers),
+            str(config.advertised),
         )
 
     def status(self) -> Status:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -321,6 +321,7 @@
                 service="histbook",
                 clients=Address("10.1.0.8", 1),
                 peers=Address("10.1.0.8", 2),
+                advertised=Address("10.1.0.8", 2),
                 server=Address("10.1.0.8", 8301),
                 drain_seconds=2.0,
                 stop_seconds=6.0,
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,121 @@
+"""The whole path with real processes: store, nodes, backend servers."""
+
+import json
+import signal
+import socket
+import time
+import urllib.error
+import urllib.request
+
+from flamingosail_platform.store import encode_keyed
+from flamingosail_platform.store import Record
+from testtools import TestCase
+
+from experiments.platformcluster import Cluster
+from experiments.platformcluster import configuration
+from experiments.platformcluster import HOST
+
+START_SECONDS = 20.0
+
+
+def call(port: int, path: str, *, body=None, headers=None) -> tuple:
+    """Return status, headers and body of one request."""
+    request = urllib.request.Request(
+        f"http://{HOST}:{port}{path}", data=body, headers=headers or {}
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            return answer.status, answer.headers, answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.headers, error.read()
+
+
+class PlatformProcessTest(TestCase):
+    """Guards the entry point, the wiring and the end of real processes."""
+
+    def setUp(self):
+        super().setUp()
+        self.cluster = Cluster(layout={"front": 2, "deep": 2})
+        self.addCleanup(self.cluster.stop)
+        cluster = self.cluster
+        cluster.start_store(cluster.store_port)
+        for name, vm in cluster.vms.items():
+            # No proxy stands between the nodes of this test.
+            vars_of = dict(vm.__dict__, advertised=vm.peers)
+            cluster.vms[name] = type(vm)(**vars_of)
+            cluster.start_node(name)
+            calls = 2 if vm.service == "front" else 0
+            cluster.start_server(name, calls=calls, call_host="soak.example")
+        self.until(lambda: self.put(1))
+
+    def put(self, version: int) -> bool:
+        """Write a configuration as the operator does."""
+        document = json.dumps(configuration(version, "front", "deep"))
+        record = Record(key="config", value=document.encode())
+        path = "/v1/log-append?topic=keyed.op&part=0"
+        port = self.cluster.store_port
+        return call(port, path, body=encode_keyed(record))[0] == 200
+
+    def until(self, condition):
+        """Wait until a condition holds."""
+        limit = time.monotonic() + START_SECONDS
+        while True:
+            try:
+                if condition():
+                    return
+            except OSError:
+                pass
+            if time.monotonic() > limit:
+                logs = [self.cluster.output(n) for n in self.cluster.processes]
+                raise AssertionError("\n".join(logs)[-4000:])
+            time.sleep(0.1)
+
+    def request(self, vm, path: str, request_id: str, body=None):
+        """Send a request to a node."""
+        headers = {
+            "Host": "soak.example",
+            "Flamingosail-Request-Id": request_id,
+            "Flamingosail-Deadline-Ms": "2000",
+        }
+        return call(vm.clients, path, body=body, headers=headers)
+
+    def test_requests_are_served_through_two_hops_and_a_node_can_go(self):
+        vms = self.cluster.vms
+        for vm in vms.values():
+            self.until(lambda vm=vm: call(vm.ready, "/v1/readiness")[0] == 200)
+            self.until(
+                lambda vm=vm: (
+                    self.request(vm, "/read/a", f"warm{time.time()}")[0] == 200
+                )
+            )
+        deep = vms["deep-0"]
+        status, headers, body = self.request(deep, "/read/a", "id1")
+        self.assertEqual(200, status)
+        self.assertEqual("id1", headers["Flamingosail-Request-Id"])
+        self.assertIn("Flamingosail-Server-Stamp", headers)
+        self.assertIn(b" id1 ", body)
+        # An order runs once, and a path without route does not exist.
+        order = self.request(deep, "/order/a", "id2", b"x" * 5000)
+        self.assertEqual((200, True), (order[0], order[2].endswith(b"5000")))
+        self.assertEqual(404, self.request(deep, "/none", "id3")[0])
+        ran = [run[0] for run in self.cluster.runs()]
+        self.assertEqual(1, ran.count("id2"))
+        self.assertEqual(1, ran.count("id2.0"))
+        self.assertIn(b"request_seconds", call(deep.metrics, "/metrics")[2])
+        # A node that stops answers what is here and leaves with code 0.
+        kept = socket.create_connection((HOST, deep.clients), timeout=5)
+        self.cluster.signal("node-deep-0", signal.SIGTERM)
+        self.until(lambda: call(deep.ready, "/v1/readiness")[0] == 503)
+        kept.sendall(
+            b"GET /read/a HTTP/1.1\r\nHost: soak.example\r\n"
+            b"Flamingosail-Request-Id: id4\r\n\r\n"
+        )
+        answer = kept.recv(65536)
+        kept.close()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+        self.assertIn(b"Connection: close", answer)
+        process = self.cluster.processes["node-deep-0"]
+        self.assertEqual(0, process.wait(8))
+        # The others go on without it.
+        front = vms["front-0"]
+        self.assertEqual(200, self.request(front, "/read/a", "id5")[0])
