--- /dev/null
+++ b/flamingosail/storycli.py
@@ -0,0 +1,79 @@
+"""Console script that tells what happened to one request.
+
+Reads the JSON lines of several nodes and prints those of a request and of
+the calls that it caused, in order of time.
+"""
+
+import json
+from collections.abc import Iterable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+__all__ = ["main", "read_lines", "StoryCommand"]
+
+# Fields that the first columns show already.
+SHOWN = frozenset({"time", "node", "message", "level", "channel", "request"})
+
+
+@cappa.command(
+    name="story",
+    help="Print the log lines of one request and its calls.",
+    description="Exit codes: 0 lines were found; 1 none were.",
+)
+@dataclass(frozen=True)
+class StoryCommand:
+    """Arguments of the script."""
+
+    request: Annotated[str, cappa.Arg(help="Id of the request.")]
+    logs: Annotated[
+        list[Path], cappa.Arg(help="Files with the output of nodes.")
+    ]
+
+
+def read_lines(lines: Iterable[str], request: str) -> Iterator[dict]:
+    """Yield the log lines that concern a request or a call of it.
+
+    A line may have something before its JSON object, such as the prefix of
+    a collector; lines without an object are skipped.
+    """
+    for line in lines:
+        start = line.find("{")
+        if start < 0 or request not in line:
+            continue
+        try:
+            entry = json.loads(line[start:])
+        except ValueError:
+            continue
+        name = str(entry.get("request", ""))
+        if name == request or name.startswith(f"{request}."):
+            yield entry
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the script and return its exit code."""
+    command = cappa.parse(StoryCommand, argv=argv)
+    entries = []
+    for path in command.logs:
+        with path.open(errors="replace") as lines:
+            entries += read_lines(lines, command.request)
+    for entry in sorted(entries, key=lambda entry: entry["time"]):
+        more = {
+            name: value for name, value in entry.items() if name not in SHOWN
+        }
+        fields = " ".join(f"{name}={value}" for name, value in more.items())
+        print(
+            entry["time"],
+            entry.get("node", "?"),
+            entry["request"],
+            entry["message"],
+            fields,
+        )
+    return 0 if entries else 1
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
