--- a/flamingosail/backendpool.py
+++ b/flamingosail/backendpool.py
@@ -1,6 +1,5 @@
 """Keep-alive connections to the node's own backend server."""
 
-import socket
 from collections import deque
 
 from twisted.internet.defer import Deferred
@@ -10,12 +9,12 @@
 
 from flamingosail.backend import Announcement
 from flamingosail.httpclient import HttpClientProtocol
+from flamingosail.sockets import detect_dead_peer
 
 __all__ = ["BackendPool", "PooledConnection"]
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 USER_TIMEOUT_MS = 2000
-KEEPALIVE_SECONDS = 1
 
 
 class PooledConnection(HttpClientProtocol):
@@ -29,7 +28,7 @@
     def connectionMade(self):  # noqa: N802 - named by twisted
         """Set socket options and report the connection."""
         super().connectionMade()
-        detect_dead_peer(self.transport)
+        detect_dead_peer(self.transport, USER_TIMEOUT_MS)
         self.opened.callback(self)
 
     def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
@@ -150,20 +149,3 @@
         self.close()
         for connection in list(self.open):
             self.discard(connection)
-
-
-def detect_dead_peer(transport):
-    """Set keepalive and the TCP user timeout where the platform has them."""
-    set_keep_alive = getattr(transport, "setTcpKeepAlive", None)
-    if set_keep_alive is None:
-        return
-    set_keep_alive(True)
-    handle = transport.getHandle()
-    for option, value in (
-        ("TCP_USER_TIMEOUT", USER_TIMEOUT_MS),
-        ("TCP_KEEPIDLE", KEEPALIVE_SECONDS),
-        ("TCP_KEEPINTVL", KEEPALIVE_SECONDS),
-    ):
-        number = getattr(socket, option, None)
-        if number is not None:
-            handle.setsockopt(socket.IPPROTO_TCP, number, value)
--- a/flamingosail/proxy/backendserver.py
+++ b/flamingosail/proxy/backendserver.py
@@ -14,9 +14,9 @@
 from flamingosail.httpclient import PEEK
 from flamingosail.httpheaders import DROPPED_HEADERS
 from flamingosail.proxy.dialect import Dialect
-from flamingosail.proxy.sockets import prepare
-from flamingosail.proxy.sockets import write_now
 from flamingosail.settings import Address
+from flamingosail.sockets import prepare
+from flamingosail.sockets import write_now
 
 __all__ = ["ServerAnswer", "ServerPool", "ServerRequest"]
 
--- a/flamingosail/proxy/client.py
+++ b/flamingosail/proxy/client.py
@@ -22,8 +22,8 @@
 from flamingosail.httpwire import status_line
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.routes import ClientLimits
-from flamingosail.proxy.sockets import prepare
-from flamingosail.proxy.sockets import write_now
+from flamingosail.sockets import prepare
+from flamingosail.sockets import write_now
 
 __all__ = ["ClientListener", "Exchange", "ExchangeHandler"]
 
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -31,9 +31,9 @@
 from flamingosail.proxy.hop import Reply
 from flamingosail.proxy.hop import Status
 from flamingosail.proxy.overload import LoadReport
-from flamingosail.proxy.sockets import prepare
-from flamingosail.proxy.sockets import write_now
 from flamingosail.settings import Address
+from flamingosail.sockets import prepare
+from flamingosail.sockets import write_now
 
 __all__ = ["LocalServer", "Peer", "PeerTable", "RemoteServer"]
 
