Set the TCP user timeout only between nodes and to the store

Cause: with the user timeout the kernel resets a connection whose peer reads nothing for 2 s; clients and backend servers may read slowly.

Change: client and server connections have no user timeout; 2 s elsewhere.

--- a/flamingosail/backendpool.py
+++ b/flamingosail/backendpool.py
@@ -14,7 +14,6 @@
 __all__ = ["BackendPool", "PooledConnection"]
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-USER_TIMEOUT_MS = 2000
 
 
 class PooledConnection(HttpClientProtocol):
@@ -28,7 +27,7 @@
     def connectionMade(self):  # noqa: N802 - named by twisted
         """Set socket options and report the connection."""
         super().connectionMade()
-        detect_dead_peer(self.transport, USER_TIMEOUT_MS)
+        detect_dead_peer(self.transport)
         self.opened.callback(self)
 
     def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -32,6 +32,7 @@
 from flamingosail.proxy.hop import Status
 from flamingosail.proxy.overload import LoadReport
 from flamingosail.settings import Address
+from flamingosail.sockets import detect_dead_peer
 from flamingosail.sockets import prepare
 from flamingosail.sockets import write_now
 
@@ -111,6 +112,7 @@
         """Prepare the transport and introduce this node."""
         self.open = True
         prepare(self.transport)
+        detect_dead_peer(self.transport)
         self.send(self.table.hello())
 
     def send(self, message):
--- a/flamingosail/sockets.py
+++ b/flamingosail/sockets.py
@@ -4,19 +4,20 @@
 
 __all__ = ["detect_dead_peer", "prepare", "write_now"]
 
-USER_TIMEOUT_MS = 3000
+# The kernel counts time without an acknowledgement of data, and time in
+# which a peer reads nothing; it is not set where peers may read slowly.
+USER_TIMEOUT_MS = 2000
 KEEPALIVE_SECONDS = 1
 
 
-def prepare(transport, user_timeout_ms: int = USER_TIMEOUT_MS):
-    """Disable Nagle's algorithm and let the kernel notice a dead peer."""
+def prepare(transport):
+    """Disable Nagle's algorithm."""
     set_no_delay = getattr(transport, "setTcpNoDelay", None)
     if set_no_delay is not None:
         set_no_delay(True)
-    detect_dead_peer(transport, user_timeout_ms)
 
 
-def detect_dead_peer(transport, user_timeout_ms: int = USER_TIMEOUT_MS):
+def detect_dead_peer(transport):
     """Set keepalive and the TCP user timeout where the platform has them."""
     set_keep_alive = getattr(transport, "setTcpKeepAlive", None)
     if set_keep_alive is None:
@@ -24,7 +25,7 @@
     set_keep_alive(True)
     handle = transport.getHandle()
     for option, value in (
-        ("TCP_USER_TIMEOUT", user_timeout_ms),
+        ("TCP_USER_TIMEOUT", USER_TIMEOUT_MS),
         ("TCP_KEEPIDLE", KEEPALIVE_SECONDS),
         ("TCP_KEEPINTVL", KEEPALIVE_SECONDS),
     ):
