Blame a server only for failures of its own

Ruled out: full servers (53 slots, fill below a half).

Change: a call that fails marks the request that made it; its failure is told as such, is not repeated and does not count in the choice of servers.

--- a/flamingosail/proxy/balance.py
+++ b/flamingosail/proxy/balance.py
@@ -23,8 +23,6 @@
 FILL_SECONDS = 0.01
 # A server that fails at once looks idle; failing calls must not flow there.
 FAILURE_SECONDS = 0.3
-# Above the mean of the other servers by this much, the server is the cause.
-FAILURE_EXCESS = 0.15
 # A server that leaves is taken only if there is no other.
 LEAVING_SECONDS = 100.0
 # Work takes longer at a server that has just started.
@@ -56,18 +54,6 @@
                 best, best_cost = server, cost
         return best
 
-    def stands_out(
-        self, server: RemoteServer, servers: Iterable[RemoteServer]
-    ) -> bool:
-        """Return whether a server fails more often than the others.
-
-        If all fail alike, the cause lies deeper and another try is wasted.
-        """
-        others = [item.failures for item in servers if item is not server]
-        if not others:
-            return False
-        return server.failures > sum(others) / len(others) + FAILURE_EXCESS
-
     def cost(self, server: RemoteServer, now: float) -> float:
         """Return the seconds that a choice costs; the lowest is chosen."""
         load = server.load() + self.random.random()
--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -9,6 +9,8 @@
 from flamingosail.proxy.client import Exchange
 from flamingosail.proxy.decisions import DecisionLog
 from flamingosail.proxy.dialect import Dialect
+from flamingosail.proxy.gate import CALL_FAILED
+from flamingosail.proxy.gate import Job
 from flamingosail.proxy.hop import Outcome
 from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.overload import Admission
@@ -42,9 +44,9 @@
 
     ``tried`` holds the servers that were offered the request, ``runs`` how
     many of them may have run it. ``origin``, ``rank`` and ``repeat`` are
-    those of ``hop.Call``; ``begins`` says that it is not a call of a request
-    at our server, and ``answer`` is the failure that a server answered
-    last.
+    those of ``hop.Call``; ``begins`` says that it is not a call of
+    ``parent``, a request at our server, and ``answer`` is the failure that a
+    server answered last.
     """
 
     __slots__ = (
@@ -62,6 +64,7 @@
         "rank",
         "repeat",
         "begins",
+        "parent",
         "answer",
     )
 
@@ -80,6 +83,7 @@
         self.rank = 0
         self.repeat = False
         self.begins = False
+        self.parent: Job | None = None
         self.answer = None
 
 
@@ -98,10 +102,12 @@
     def ended(self, outcome, status, proof, head, body, reason):
         """Take in the end of the attempt."""
         self.server.sent -= 1
-        if outcome != Outcome.REFUSED:
-            self.server.note_outcome(
-                outcome != Outcome.ANSWERED or status >= 500
-            )
+        if outcome == Outcome.ANSWERED:
+            # A failure whose cause lies deeper says nothing of this server;
+            # counted, it would send requests to other failure domains.
+            self.server.note_outcome(status >= 500 and reason != CALL_FAILED)
+        elif outcome != Outcome.REFUSED:
+            self.server.note_outcome(True)
         work = self.work
         if work.attempt is self:
             work.attempt = None
@@ -231,6 +237,7 @@
             # Even ranks are calls: they go before requests that begin.
             work.rank = parent.rank & ~1
             work.repeat = parent.repeat
+            work.parent = parent
             if work.repeat:
                 self.budget.spend(work.service)
             return True
@@ -331,12 +338,8 @@
             head += self.id_line % work.exchange.request_id
             if proof:
                 head += self.proof_line % proof
-            servers = self.peers.by_service.get(work.service, ())
-            if (
-                status >= 500
-                and self.balance.stands_out(server, servers)
-                and self.may_repeat(work)
-            ):
+            own_failure = status >= 500 and reason != CALL_FAILED
+            if own_failure and self.may_repeat(work):
                 reason = f"a server answered {status}"
                 self.note_repeat(work, reason)
                 work.answer = (status, head, body)
@@ -434,7 +437,10 @@
     def finish(self, work: Forwarding, status: int, head: bytes, body: bytes):
         """Answer the client and forget the request."""
         self.close(work)
-        if work.begins and status < 500:
+        if status >= 500:
+            if work.parent is not None:
+                work.parent.call_failed = True
+        elif work.begins:
             self.meter.succeeded(work.origin)
         self.metrics.observe_request(
             f"{status // 100}xx",
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -24,7 +24,7 @@
 from flamingosail.proxy.overload import LoadMeter
 from flamingosail.proxy.timeouts import Timeouts
 
-__all__ = ["Gate", "Job", "ServerReport"]
+__all__ = ["CALL_FAILED", "Gate", "Job", "ServerReport"]
 
 # A request with less time left than this cannot be served: one round trip to
 # the server and the shortest work.
@@ -53,6 +53,9 @@
     Outcome.LOST: "lost",
     Outcome.SHED: "shed",
 }
+# The reason given with an answer whose failure is not the server's own.
+CALL_FAILED = "a call of the server failed"
+
 log = Logger("proxy.gate")
 
 
@@ -83,7 +86,8 @@
 
     ``line`` is the request line and ``head`` the header lines but for the
     request id; ``origin``, ``rank`` and
-    ``repeat`` are those of ``hop.Call``. ``on_end`` is called once as
+    ``repeat`` are those of ``hop.Call``. ``call_failed`` is set when a call
+    that the server made for this request failed. ``on_end`` is called once as
     ``on_end(job, outcome, status, proof, head, body, reason)``.
     """
 
@@ -101,6 +105,7 @@
         "on_end",
         "request",
         "started",
+        "call_failed",
         "over",
         "stream",
     )
@@ -134,6 +139,7 @@
         self.on_end = on_end
         self.request = None
         self.started = 0.0
+        self.call_failed = False
         self.over = False
         self.stream = stream
 
@@ -383,7 +389,7 @@
                 answer.proof,
                 answer.head,
                 answer.body,
-                "",
+                CALL_FAILED if job.call_failed else "",
             )
         self.start_next()
 
