Wait for the answer before cutting off a client that asked for a close

Cause: found by reading: a client that sent Connection: close was cut off 10 s after its request, answered or not; a stopping node counted as capacity; the report of a former connection could replace that of the new one.

Change: the connection is cut off only when nothing is pending; a stopping node reports no room; the connection heard last wins.

Measured: the new test fails before and passes after.

--- a/flamingosail/proxy/client.py
+++ b/flamingosail/proxy/client.py
@@ -341,7 +341,7 @@
     def sweep(self, now: float, limits: ClientLimits):
         """Close the connection if its client is too slow or idle."""
         if self.ended:
-            if now - self.last_used > CLOSE_SECONDS:
+            if not self.pending and now - self.last_used > CLOSE_SECONDS:
                 self.transport.abortConnection()
         elif self.exchange is not None:
             if (
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -178,7 +178,8 @@
     def load_report(self) -> LoadReport:
         """Return what this node saw lately."""
         gate = self.gate
-        room = gate.room if gate.state == "ready" else 0
+        usable = gate.state == "ready" and self.stopping_since is None
+        room = gate.room if usable else 0
         return self.meter.report(self.config.service, room, gate.waiting)
 
     def config_version(self) -> int:
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -567,9 +567,12 @@
 
     def reports(self, now: float) -> list[LoadReport]:
         """Return the latest report of each node that was heard lately."""
+        # Of a node that has just returned the former connection may be open.
         latest = {
             connection.peer_address: connection.report
-            for connection in self.serving
+            for connection in sorted(
+                self.serving, key=lambda connection: connection.last_input
+            )
             if connection.report is not None
             and now - connection.last_input < SILENT_SECONDS
         }
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -153,6 +153,22 @@
         self.listener.sweep()
         self.assertTrue(self.transport.closed)
 
+    def test_a_closing_client_gets_its_answer_however_late(self):
+        """The sweep cut off requests of clients that asked for a close."""
+        self.receive(request("a", "Connection: close\r\n"))
+        self.clock.advance(30.0)
+        self.listener.sweep()
+        self.assertFalse(self.transport.aborted)
+        self.handler.exchanges[0].answer(200, b"", b"whole")
+        self.assertIn(b"whole", self.written())
+
+    def test_a_client_that_reads_nothing_is_cut_off(self):
+        self.receive(request("a", "Connection: close\r\n"))
+        self.handler.exchanges[0].answer(200, b"", b"whole")
+        self.clock.advance(11.0)
+        self.listener.sweep()
+        self.assertTrue(self.transport.aborted)
+
     def test_garbage_after_a_request_does_not_disturb_its_answer(self):
         self.receive(request("a") + b"\x00\x01\r\n\r\n")
         self.handler.exchanges[0].answer(200, b"", b"whole")
