--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -171,16 +171,25 @@
 
     def take_reports(self, reports: list[LoadReport]):
         """Decide anew which requests may begin."""
-        before = dict(self.admission.binding)
+        before = self.admission.binding
         self.admission.compute(reports, self.priorities)
-        if self.admission.binding != before:
-            self.decisions.failure("admission changed", self.shares)
+        if self.admission.binding or before:
+            self.decisions.failure("admission", self.shares)
 
     def shares(self) -> dict:
         """Return the fields of a log line on the admission."""
+        admission = self.admission
         return {
-            "shares": self.admission.shares,
-            "binding": self.admission.binding,
+            "shares": rounded(admission.shares),
+            "binding": admission.binding,
+            "services": {
+                name: {
+                    "room": load.room,
+                    "waiting": load.waiting,
+                    "fill": round(load.fill, 2),
+                }
+                for name, load in admission.services.items()
+            },
         }
 
     # The client side.
@@ -471,3 +480,8 @@
             ),
             "config_version": self.table.version,
         }
+
+
+def rounded(numbers: dict) -> dict:
+    """Return the same numbers, short enough for a log line."""
+    return {key: round(value, 3) for key, value in numbers.items()}
--- a/flamingosail/proxy/overload.py
+++ b/flamingosail/proxy/overload.py
@@ -199,7 +199,7 @@
                 usage[pair] = usage.get(pair, 0.0) + used / USAGE_SCALE
         self.learn(elapsed, completed, usage)
         shares: dict[int, float] = {}
-        self.binding.clear()
+        self.binding = {}
         for service, load in self.services.items():
             load.adapt()
             if load.room:
