--- a/flamingosail/proxy/balance.py
+++ b/flamingosail/proxy/balance.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from random import Random
 
-from flamingosail.proxy.peers import RemoteServer
+from flamingosail.proxy.servers import RemoteServer
 
 __all__ = ["Balance"]
 
--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -10,19 +10,19 @@
 from flamingosail.proxy.decisions import DecisionLog
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.gate import CALL_FAILED
-from flamingosail.proxy.gate import Job
 from flamingosail.proxy.hop import Outcome
+from flamingosail.proxy.job import Job
 from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.overload import Admission
 from flamingosail.proxy.overload import LoadMeter
 from flamingosail.proxy.overload import LoadReport
 from flamingosail.proxy.overload import route_key
 from flamingosail.proxy.peers import PeerTable
-from flamingosail.proxy.peers import RemoteServer
 from flamingosail.proxy.routes import ClientLimits
 from flamingosail.proxy.routes import Route
 from flamingosail.proxy.routes import RouteTable
 from flamingosail.proxy.routes import SplitBalance
+from flamingosail.proxy.servers import RemoteServer
 from flamingosail.proxy.timeouts import Timeouts
 
 __all__ = ["Forwarder"]
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -19,9 +19,9 @@
 from flamingosail.proxy.overload import Admission
 from flamingosail.proxy.overload import LoadMeter
 from flamingosail.proxy.overload import LoadReport
-from flamingosail.proxy.peers import LocalServer
 from flamingosail.proxy.peers import PeerTable
 from flamingosail.proxy.routes import RouteTable
+from flamingosail.proxy.servers import LocalServer
 from flamingosail.settings import Address
 
 __all__ = ["NodeConfig", "ProxyNode"]
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -1,4 +1,4 @@
-"""The nodes of other VMs and the connections to them.
+"""The nodes of other VMs.
 
 Each node dials every other node and sends its calls on the connection that
 it dialled; on connections that it accepted it only serves.
@@ -11,32 +11,24 @@
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import ClientFactory
 from twisted.internet.protocol import Factory
-from twisted.internet.protocol import Protocol
 from twisted.internet.task import LoopingCall
 
-from flamingosail.errors import CodecError
 from flamingosail.proxy.gate import Gate
-from flamingosail.proxy.gate import Job
-from flamingosail.proxy.hop import Call
 from flamingosail.proxy.hop import Cancel
 from flamingosail.proxy.hop import ConfigCopy
 from flamingosail.proxy.hop import ConfigPull
-from flamingosail.proxy.hop import encode_frame
-from flamingosail.proxy.hop import FrameBuffer
-from flamingosail.proxy.hop import HeaderBlocks
 from flamingosail.proxy.hop import Hello
-from flamingosail.proxy.hop import Outcome
-from flamingosail.proxy.hop import Ping
-from flamingosail.proxy.hop import Pong
-from flamingosail.proxy.hop import Reply
 from flamingosail.proxy.hop import Status
+from flamingosail.proxy.hopconnection import CallingConnection
+from flamingosail.proxy.hopconnection import HopProtocol
+from flamingosail.proxy.hopconnection import ServingConnection
+from flamingosail.proxy.hopconnection import SILENT_SECONDS
 from flamingosail.proxy.overload import LoadReport
+from flamingosail.proxy.servers import LocalServer
+from flamingosail.proxy.servers import RemoteServer
 from flamingosail.settings import Address
-from flamingosail.sockets import detect_dead_peer
-from flamingosail.sockets import prepare
-from flamingosail.sockets import write_now
 
-__all__ = ["LocalServer", "Peer", "PeerTable", "RemoteServer"]
+__all__ = ["Peer", "PeerTable"]
 
 TICK_SECONDS = 0.5
 # Bytes between failure domains are dear, and near servers are used first.
@@ -44,275 +36,14 @@
 FAR_PING_SECONDS = 1.0
 # A connection without any input for so many pings gets no new calls.
 SUSPECT_PINGS = 1.8
-# A connection without any input for this long is closed; its calls are lost.
-SILENT_SECONDS = 2.5
 DIAL_TIMEOUT_SECONDS = 1.0
 REDIAL_SECONDS = 0.5
 # A node that has been unreachable for long is dialled less often.
 MAX_REDIAL_SECONDS = 4.0
 
-# About the last ten calls decide.
-FAILURE_SMOOTHING = 0.1
-
 log = Logger("proxy.peers")
 
 
-class RemoteServer:
-    """A backend server as the nodes that send to it see it.
-
-    ``room``, ``running`` and ``waiting`` are those of its gate at the last
-    message; ``sent`` counts this node's own calls that are not ended, and
-    ``failures`` is the share of the last ones that failed.
-    """
-
-    local = False
-
-    def __init__(self):
-        self.state = "absent"
-        self.service = ""
-        self.instance = ""
-        self.room = 0
-        self.running = 0
-        self.waiting = 0
-        self.sent = 0
-        self.sent_at_report = 0
-        self.failures = 0.0
-        self.cold_until = 0.0
-        self.failure_domain = ""
-
-    def take_report(self, running: int, waiting: int, room: int):
-        """Note the load that the gate reported."""
-        self.running = running
-        self.waiting = waiting
-        self.room = room
-        self.sent_at_report = self.sent
-
-    def note_outcome(self, failed: bool):
-        """Take in how a call ended."""
-        self.failures += FAILURE_SMOOTHING * (failed - self.failures)
-
-    def load(self) -> float:
-        """Return the requests at the server, with those on their way."""
-        on_the_way = self.sent - self.sent_at_report
-        return self.running + self.waiting + max(0, on_the_way)
-
-
-class HopProtocol(Protocol):
-    """Frames in both directions; the base of both ends."""
-
-    def __init__(self, *, table: "PeerTable"):
-        self.table = table
-        self.frames = FrameBuffer()
-        self.sent_blocks = HeaderBlocks()
-        self.received_blocks = HeaderBlocks()
-        self.last_input = table.clock.seconds()
-        self.open = False
-
-    def connectionMade(self):  # noqa: N802 - named by twisted
-        """Prepare the transport and introduce this node."""
-        self.open = True
-        prepare(self.transport)
-        detect_dead_peer(self.transport)
-        self.send(self.table.hello())
-
-    def send(self, message):
-        """Write a message."""
-        if self.open:
-            write_now(self.transport, encode_frame(message))
-
-    def dataReceived(self, data):  # noqa: N802 - named by twisted
-        """Handle the messages that are complete."""
-        self.last_input = self.table.clock.seconds()
-        try:
-            for message in self.frames.feed(data):
-                self.received(message)
-        except CodecError as error:
-            log.warning("peer sent garbage", extra={"cause": str(error)})
-            self.transport.abortConnection()
-
-    def received(self, message):
-        """Handle one message."""
-        raise NotImplementedError
-
-
-class ServingConnection(HopProtocol):
-    """A connection that another node dialled, to call our server."""
-
-    def __init__(self, *, table: "PeerTable"):
-        super().__init__(table=table)
-        self.jobs: dict[int, Job] = {}
-        self.peer_address = ""
-        self.report: LoadReport | None = None
-
-    def connectionMade(self):  # noqa: N802 - named by twisted
-        """Tell the state of our server."""
-        super().connectionMade()
-        self.table.serving.add(self)
-        self.send(self.table.status())
-
-    def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
-        """Cancel the requests that the other node waits for."""
-        self.open = False
-        self.table.serving.discard(self)
-        jobs, self.jobs = self.jobs, {}
-        for job in jobs.values():
-            self.table.gate.cancel(job)
-
-    def received(self, message):
-        """Handle one message."""
-        kind = type(message)
-        if kind is Call:
-            self.called(message)
-        elif kind is Cancel:
-            job = self.jobs.pop(message.stream, None)
-            if job is not None:
-                self.table.gate.cancel(job)
-        elif kind is Ping:
-            gate = self.table.gate
-            self.send(
-                Pong(
-                    message.number,
-                    len(gate.running),
-                    gate.waiting,
-                    gate.room,
-                    self.table.config_version(),
-                )
-            )
-            self.table.heard_version(message.config_version, self)
-            self.report = message.report
-        elif kind is Hello:
-            self.peer_address = message.address
-            self.table.introduced(message)
-        elif kind is ConfigPull:
-            self.table.send_config(self, message.version)
-        elif kind is ConfigCopy:
-            self.table.on_config(message.document)
-
-    def called(self, call: Call):
-        """Take a call to the gate."""
-        job = Job(
-            request_id=call.request_id,
-            service=call.service,
-            line=call.line,
-            head=self.received_blocks.unpack(call.block, call.head),
-            body=call.body,
-            deadline=self.table.clock.seconds() + call.left_ms / 1000,
-            idempotent=call.idempotent,
-            origin=call.origin,
-            rank=call.rank,
-            repeat=call.repeat,
-            on_end=self.ended,
-            stream=call.stream,
-        )
-        self.jobs[call.stream] = job
-        self.table.gate.take(job)
-
-    def ended(self, job: Job, outcome, status, proof, head, body, reason):
-        """Send the reply of a call."""
-        self.jobs.pop(job.stream, None)
-        if not self.open:
-            return
-        block, head = self.sent_blocks.pack(head)
-        gate = self.table.gate
-        self.send(
-            Reply(
-                job.stream,
-                outcome,
-                status,
-                proof,
-                block,
-                head,
-                body,
-                reason,
-                len(gate.running),
-                gate.waiting,
-                gate.room,
-            )
-        )
-
-
-class CallingConnection(HopProtocol):
-    """A connection that this node dialled, for its calls."""
-
-    def __init__(self, *, peer: "Peer"):
-        super().__init__(table=peer.table)
-        self.peer = peer
-        self.calls: dict = {}
-        self.pings = count(1)
-        self.pinged = 0.0
-
-    def connectionMade(self):  # noqa: N802 - named by twisted
-        """Report that the peer can be reached."""
-        super().connectionMade()
-        self.peer.connected(self)
-
-    def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
-        """End the calls: they may have run."""
-        self.open = False
-        calls, self.calls = self.calls, {}
-        self.peer.disconnected(self)
-        for attempt in calls.values():
-            attempt.ended(
-                Outcome.LOST,
-                0,
-                b"",
-                b"",
-                b"",
-                "the connection to the node ended",
-            )
-
-    def received(self, message):
-        """Handle one message."""
-        kind = type(message)
-        peer = self.peer
-        if kind is Reply:
-            peer.take_report(message.running, message.waiting, message.room)
-            head = self.received_blocks.unpack(message.block, message.head)
-            attempt = self.calls.pop(message.stream, None)
-            if attempt is not None:
-                attempt.ended(
-                    message.outcome,
-                    message.status,
-                    message.proof,
-                    head,
-                    message.body,
-                    message.reason,
-                )
-        elif kind is Pong:
-            peer.take_report(message.running, message.waiting, message.room)
-            self.table.heard_version(message.config_version, self)
-        elif kind is Status:
-            peer.take_status(message)
-            self.table.heard_version(message.config_version, self)
-        elif kind is Hello:
-            peer.take_hello(message)
-        elif kind is ConfigPull:
-            self.table.send_config(self, message.version)
-        elif kind is ConfigCopy:
-            self.table.on_config(message.document)
-
-    def call(self, stream: int, fields: dict):
-        """Send a call."""
-        block, head = self.sent_blocks.pack(fields["head"])
-        self.send(Call(**{**fields, "head": head}, stream=stream, block=block))
-
-    def tick(self, now: float) -> bool:
-        """Ping the peer; return False if it has been silent too long."""
-        silent = now - self.last_input
-        if silent > SILENT_SECONDS:
-            return False
-        if now - self.pinged >= self.peer.ping_seconds * 0.9:
-            self.pinged = now
-            self.send(
-                Ping(
-                    next(self.pings),
-                    self.table.config_version(),
-                    self.table.own_report,
-                )
-            )
-        return True
-
-
 class CallingFactory(ClientFactory):
     """Dials a peer."""
 
@@ -449,55 +180,6 @@
             connection.transport.abortConnection()
 
 
-class LocalServer(RemoteServer):
-    """The server beside this node, reached without a connection."""
-
-    local = True
-    usable = True
-
-    def __init__(self, *, gate: Gate, failure_domain: str):
-        super().__init__()
-        self.gate = gate
-        self.failure_domain = failure_domain
-        self.address = "local"
-
-    def load(self) -> float:
-        """Return the requests at the server."""
-        return len(self.gate.running) + self.gate.waiting
-
-    def refresh(self):
-        """Take over the state of the gate."""
-        report = self.gate.report
-        self.state = self.gate.state
-        self.room = self.gate.room
-        if report is not None:
-            self.service = report.service
-            self.instance = report.instance
-            self.cold_until = report.cold_until
-
-    def call(self, attempt, fields: dict):
-        """Take a call to the gate."""
-        job = Job(
-            request_id=fields["request_id"],
-            service=fields["service"],
-            line=fields["line"],
-            head=fields["head"],
-            body=fields["body"],
-            deadline=self.gate.clock.seconds() + fields["left_ms"] / 1000,
-            idempotent=fields["idempotent"],
-            origin=fields["origin"],
-            rank=fields["rank"],
-            repeat=fields["repeat"],
-            on_end=lambda job, *end: attempt.ended(*end),
-        )
-        attempt.connection = job
-        self.gate.take(job)
-
-    def cancel(self, attempt):
-        """Drop a call that nobody waits for."""
-        self.gate.cancel(attempt.connection)
-
-
 class PeerTable(Factory):
     """All nodes that are known, and the listener for their calls.
 
--- a/tests/proxyfakes.py
+++ b/tests/proxyfakes.py
@@ -8,8 +8,8 @@
 from flamingosail.proxy.backendserver import ServerAnswer
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.gate import Gate
-from flamingosail.proxy.gate import Job
-from flamingosail.proxy.gate import ServerReport
+from flamingosail.proxy.job import Job
+from flamingosail.proxy.job import ServerReport
 from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.overload import LoadMeter
 from flamingosail.proxy.routes import Route
--- a/tests/test_proxy_forward.py
+++ b/tests/test_proxy_forward.py
@@ -15,10 +15,10 @@
 from flamingosail.proxy.overload import Admission
 from flamingosail.proxy.overload import LoadMeter
 from flamingosail.proxy.overload import route_key
-from flamingosail.proxy.peers import RemoteServer
 from flamingosail.proxy.routes import ClientLimits
 from flamingosail.proxy.routes import RouteTable
 from flamingosail.proxy.routes import WeightedService
+from flamingosail.proxy.servers import RemoteServer
 from tests.proxyfakes import DIALECT
 from tests.proxyfakes import make_gate
 from tests.proxyfakes import make_job
