Count only admitted requests as served after a start

Cause: the share of refused requests was left out, so that costs came out too low 3 s into an overload: the model admitted 144 a second of 100 possible.

Change: what began is what was offered times the share in force.

--- a/flamingosail/proxy/overload.py
+++ b/flamingosail/proxy/overload.py
@@ -27,7 +27,7 @@
 COST_RISE_SECONDS = 6.0
 COST_FALL_SECONDS = 1.5
 # After a start the calls of requests are seen before their ends, and costs
-# look too high for as long as requests take. Until then all requests are
+# look too high for as long as requests take. Until then all that began are
 # taken to be served, unless a long queue shows that they are not.
 SETTLE_SECONDS = 3.0
 # Share of the slots that admitted requests may take; the rest takes up the
@@ -238,7 +238,8 @@
                 pair = (key, service)
                 served = rate
                 if now - since < SETTLE_SECONDS and not load.queue_is_long:
-                    served = max(rate, offered.get(key, 0.0))
+                    share = self.shares.get(key, 1.0)
+                    served = max(rate, share * offered.get(key, 0.0))
                 seen = usage.get(pair, 0.0) / served
                 known = self.costs.get(pair)
                 if known is None:
