--- a/flamingosail/sockets.py
+++ b/flamingosail/sockets.py
@@ -37,8 +37,8 @@
 def write_now(transport, data: bytes):
     """Write to a TCP transport, at once if its buffer is empty.
 
-    ``transport.write`` waits for the next turn of the loop and costs three
-    more system calls, which is a quarter of the work on a forwarded request.
+    ``transport.write`` waits for the next turn of the loop and registers the
+    socket for it, which costs further system calls.
     """
     sock = getattr(transport, "socket", None)
     if (
