Stop looking at far servers when a near one has room

Far servers cost at least FAR_SECONDS, so they cannot win against a near one below that. Ruled out: two random choices, which fill servers unevenly. Change: the lists are sorted by distance when they change, and the choice stops there; whether a server can be reached is asked only of a server that would be taken.

--- a/flamingosail/proxy/balance.py
+++ b/flamingosail/proxy/balance.py
@@ -10,7 +10,7 @@
 
 from flamingosail.proxy.servers import RemoteServer
 
-__all__ = ["Balance"]
+__all__ = ["Balance", "nearest_first"]
 
 # Costs are in seconds of latency. A far server is worth its bytes between
 # failure domains if it saves this much waiting.
@@ -42,15 +42,24 @@
         servers: Iterable[RemoteServer],
         excluded: Collection[RemoteServer] = (),
     ) -> RemoteServer | None:
-        """Return the server for the next request, None if there is none."""
+        """Return the server for the next request, None if there is none.
+
+        ``servers`` is sorted by ``nearest_first``. The far ones are not
+        looked at if a near one costs less than the distance alone.
+        """
         best = None
         best_cost = float("inf")
         now = self.clock.seconds()
         for server in servers:
-            if server in excluded or not server.usable or not server.room:
+            if (
+                best_cost < FAR_SECONDS
+                and server.failure_domain != self.failure_domain
+            ):
+                break
+            if not server.room or server in excluded:
                 continue
             cost = self.cost(server, now)
-            if cost < best_cost:
+            if cost < best_cost and server.usable:
                 best, best_cost = server, cost
         return best
 
@@ -68,3 +77,12 @@
         if server.failure_domain != self.failure_domain:
             cost += FAR_SECONDS
         return cost
+
+
+def nearest_first(
+    servers: Iterable[RemoteServer], failure_domain: str
+) -> list[RemoteServer]:
+    """Return the servers in the order that ``Balance.choose`` needs."""
+    return sorted(
+        servers, key=lambda server: server.failure_domain != failure_domain
+    )
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -13,6 +13,7 @@
 from twisted.internet.protocol import Factory
 from twisted.internet.task import LoopingCall
 
+from flamingosail.proxy.balance import nearest_first
 from flamingosail.proxy.gate import Gate
 from flamingosail.proxy.hop import Cancel
 from flamingosail.proxy.hop import ConfigCopy
@@ -290,7 +291,10 @@
         for server in (self.local, *self.peers.values()):
             if server.state in ("ready", "draining", "leaving"):
                 grouped.setdefault(server.service, []).append(server)
-        self.by_service = grouped
+        self.by_service = {
+            service: nearest_first(servers, self.local.failure_domain)
+            for service, servers in grouped.items()
+        }
 
     def local_changed(self):
         """Tell all peers the state of our server."""
