Send load reports between failure domains as sums of one speaker

Ruled out: only longer intervals, since the admission would follow late and cuts would be found late. Change: nodes of a failure domain exchange reports; the reachable one with the lowest address sends their sums to the others once a second. Far peers without calls are pinged each 4 s; a call to one sends a ping with it, so that a cut is found as fast as before.

--- a/flamingosail/proxy/hop.py
+++ b/flamingosail/proxy/hop.py
@@ -20,6 +20,7 @@
     "Cancel",
     "ConfigCopy",
     "ConfigPull",
+    "DomainLoad",
     "FrameBuffer",
     "HeaderBlocks",
     "Hello",
@@ -109,11 +110,14 @@
 
 
 class Ping(Struct, tag=4, array_like=True, gc=False):
-    """Asks for a Pong; carries the version of the configuration and load."""
+    """Asks for a Pong; carries the version of the configuration.
+
+    ``report`` is sent within a failure domain only.
+    """
 
     number: int
     config_version: int
-    report: LoadReport
+    report: LoadReport | None
 
 
 class Status(Struct, tag=5, array_like=True, gc=False):
@@ -165,8 +169,27 @@
     document: bytes
 
 
+class DomainLoad(Struct, tag=10, array_like=True, gc=False):
+    """The sums of the reports of a failure domain, one for each service.
+
+    ``nodes`` is how many reports they sum up.
+    """
+
+    nodes: int
+    reports: list[LoadReport]
+
+
 Message = Union[  # noqa: UP007 - msgspec needs the runtime type
-    Call, Reply, Cancel, Ping, Status, Pong, Hello, ConfigPull, ConfigCopy
+    Call,
+    Reply,
+    Cancel,
+    Ping,
+    Status,
+    Pong,
+    Hello,
+    ConfigPull,
+    ConfigCopy,
+    DomainLoad,
 ]
 _encoder = Encoder()
 _decoder = Decoder(Message)
--- a/flamingosail/proxy/hopconnection.py
+++ b/flamingosail/proxy/hopconnection.py
@@ -10,6 +10,7 @@
 from flamingosail.proxy.hop import Cancel
 from flamingosail.proxy.hop import ConfigCopy
 from flamingosail.proxy.hop import ConfigPull
+from flamingosail.proxy.hop import DomainLoad
 from flamingosail.proxy.hop import encode_frame
 from flamingosail.proxy.hop import FrameBuffer
 from flamingosail.proxy.hop import HeaderBlocks
@@ -20,7 +21,6 @@
 from flamingosail.proxy.hop import Reply
 from flamingosail.proxy.hop import Status
 from flamingosail.proxy.job import Job
-from flamingosail.proxy.overload import LoadReport
 from flamingosail.sockets import detect_dead_peer
 from flamingosail.sockets import prepare
 from flamingosail.sockets import write_now
@@ -29,11 +29,11 @@
     "CallingConnection",
     "HopProtocol",
     "ServingConnection",
-    "SILENT_SECONDS",
 ]
 
-# A connection without any input for this long is closed; its calls are lost.
-SILENT_SECONDS = 2.5
+# A connection whose ping has no answer for this long is closed; its calls
+# are lost.
+UNANSWERED_SECONDS = 2.0
 
 log = Logger("proxy.peers")
 
@@ -49,7 +49,6 @@
         self.frames = FrameBuffer()
         self.sent_blocks = HeaderBlocks()
         self.received_blocks = HeaderBlocks()
-        self.last_input = table.clock.seconds()
         self.open = False
 
     def connectionMade(self):  # noqa: N802 - named by twisted
@@ -66,7 +65,7 @@
 
     def dataReceived(self, data):  # noqa: N802 - named by twisted
         """Handle the messages that are complete."""
-        self.last_input = self.table.clock.seconds()
+        self.heard()
         try:
             for message in self.frames.feed(data):
                 self.received(message)
@@ -74,6 +73,9 @@
             log.warning("peer sent garbage", extra={"cause": str(error)})
             self.transport.abortConnection()
 
+    def heard(self):
+        """Note that the other end is alive."""
+
     def received(self, message):
         """Handle one message."""
         raise NotImplementedError
@@ -86,7 +88,7 @@
         super().__init__(table=table)
         self.jobs: dict[int, Job] = {}
         self.peer_address = ""
-        self.report: LoadReport | None = None
+        self.failure_domain = ""
 
     def connectionMade(self):  # noqa: N802 - named by twisted
         """Tell the state of our server."""
@@ -123,9 +125,20 @@
                 )
             )
             self.table.heard_version(message.config_version, self)
-            self.report = message.report
+            if message.report is not None:
+                self.table.reports.take_report(
+                    self.peer_address, message.report
+                )
+        elif kind is DomainLoad:
+            self.table.reports.take_sum(
+                self.failure_domain,
+                self.peer_address,
+                message.nodes,
+                message.reports,
+            )
         elif kind is Hello:
             self.peer_address = message.address
+            self.failure_domain = message.failure_domain
             self.table.introduced(message)
         elif kind is ConfigPull:
             self.table.send_config(self, message.version)
@@ -184,6 +197,7 @@
         self.calls: dict = {}
         self.pings = count(1)
         self.pinged = 0.0
+        self.unanswered_since: float | None = None
 
     def connectionMade(self):  # noqa: N802 - named by twisted
         """Report that the peer can be reached."""
@@ -235,23 +249,36 @@
         elif kind is ConfigCopy:
             self.table.on_config(message.document)
 
+    def heard(self):
+        """Note that the peer is alive."""
+        self.unanswered_since = None
+
     def call(self, stream: int, fields: dict):
-        """Send a call."""
+        """Send a call, and a ping if the last one is long ago."""
+        peer = self.peer
+        now = peer.used_at = self.table.clock.seconds()
+        if now - self.pinged >= peer.busy_ping_seconds:
+            self.ping(now)
         block, head = self.sent_blocks.pack(fields["head"])
         self.send(Call(**{**fields, "head": head}, stream=stream, block=block))
 
+    def unanswered_for(self, now: float) -> float:
+        """Return the seconds since the first ping without an answer."""
+        since = self.unanswered_since
+        return 0.0 if since is None else now - since
+
     def tick(self, now: float) -> bool:
         """Ping the peer; return False if it has been silent too long."""
-        silent = now - self.last_input
-        if silent > SILENT_SECONDS:
+        if self.unanswered_for(now) > UNANSWERED_SECONDS:
             return False
-        if now - self.pinged >= self.peer.ping_seconds * 0.9:
-            self.pinged = now
-            self.send(
-                Ping(
-                    next(self.pings),
-                    self.table.config_version(),
-                    self.table.own_report,
-                )
-            )
+        if now - self.pinged >= self.peer.ping_seconds(now) * 0.9:
+            self.ping(now)
         return True
+
+    def ping(self, now: float):
+        """Ask the peer for its load."""
+        self.pinged = now
+        if self.unanswered_since is None:
+            self.unanswered_since = now
+        report = self.table.own_report if self.peer.near else None
+        self.send(Ping(next(self.pings), self.table.config_version(), report))
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -13,17 +13,20 @@
 from twisted.internet.protocol import Factory
 from twisted.internet.task import LoopingCall
 
-from flamingosail.proxy.balance import nearest_first
+from flamingosail.proxy.balance import ServerGroup
 from flamingosail.proxy.gate import Gate
 from flamingosail.proxy.hop import Cancel
 from flamingosail.proxy.hop import ConfigCopy
 from flamingosail.proxy.hop import ConfigPull
+from flamingosail.proxy.hop import DomainLoad
 from flamingosail.proxy.hop import Hello
 from flamingosail.proxy.hop import Status
 from flamingosail.proxy.hopconnection import CallingConnection
 from flamingosail.proxy.hopconnection import HopProtocol
 from flamingosail.proxy.hopconnection import ServingConnection
-from flamingosail.proxy.hopconnection import SILENT_SECONDS
+from flamingosail.proxy.loadreports import LoadReports
+from flamingosail.proxy.loadreports import merge
+from flamingosail.proxy.loadreports import REPORT_SECONDS
 from flamingosail.proxy.overload import LoadReport
 from flamingosail.proxy.servers import LocalServer
 from flamingosail.proxy.servers import RemoteServer
@@ -35,8 +38,15 @@
 # Bytes between failure domains are dear, and near servers are used first.
 NEAR_PING_SECONDS = 0.5
 FAR_PING_SECONDS = 1.0
-# A connection without any input for so many pings gets no new calls.
-SUSPECT_PINGS = 1.8
+# With more near peers than this the pings to them are spread over up to
+# FAR_PING_SECONDS.
+FEW_PEERS = 16
+# A far peer without calls for a while is only kept from being forgotten.
+IDLE_PING_SECONDS = 4.0
+IDLE_AFTER_SECONDS = 2.0
+# A connection whose ping has no answer for this share of the interval gets
+# no new calls.
+SUSPECT_SHARE = 0.8
 DIAL_TIMEOUT_SECONDS = 1.0
 REDIAL_SECONDS = 0.5
 # A node that has been unreachable for long is dialled less often.
@@ -77,7 +87,8 @@
         self.failures = 0
         self.next_dial = 0.0
         self.node = ""
-        self.lost_logged = True
+        self.near = False
+        self.used_at = 0.0
 
     def dial(self, now: float):
         """Open a connection unless one is open or being opened."""
@@ -120,6 +131,8 @@
         """Note who answers at the address."""
         self.node = hello.node
         self.failure_domain = hello.failure_domain
+        self.near = hello.failure_domain == self.table.local.failure_domain
+        self.table.count_near()
 
     def take_status(self, status: Status):
         """Note the state of the server."""
@@ -140,10 +153,15 @@
         self.table.changed(self)
 
     @property
-    def ping_seconds(self) -> float:
+    def busy_ping_seconds(self) -> float:
+        """Seconds between pings while calls are sent."""
+        return self.table.near_ping_seconds if self.near else FAR_PING_SECONDS
+
+    def ping_seconds(self, now: float) -> float:
         """Seconds between pings."""
-        near = self.failure_domain == self.table.local.failure_domain
-        return NEAR_PING_SECONDS if near else FAR_PING_SECONDS
+        if self.near or now - self.used_at < IDLE_AFTER_SECONDS:
+            return self.busy_ping_seconds
+        return IDLE_PING_SECONDS
 
     @property
     def usable(self) -> bool:
@@ -152,8 +170,11 @@
         return (
             connection is not None
             and connection.open
-            and self.table.clock.seconds() - connection.last_input
-            < SUSPECT_PINGS * self.ping_seconds
+            and (
+                connection.unanswered_since is None
+                or connection.unanswered_for(self.table.clock.seconds())
+                < SUSPECT_SHARE * self.busy_ping_seconds
+            )
         )
 
     def call(self, attempt, message_fields: dict):
@@ -221,9 +242,12 @@
         self.on_config = on_config
         self.peers: dict[Address, Peer] = {}
         self.serving: set[ServingConnection] = set()
-        self.by_service: dict[str, list[RemoteServer]] = {}
+        self.by_service: dict[str, ServerGroup] = {}
         self.pulled = (0, 0.0)
         self.own_report = LoadReport()
+        self.reports = LoadReports(clock=reactor)
+        self.near_ping_seconds = NEAR_PING_SECONDS
+        self.spoke_at = 0.0
         self.loop = LoopingCall(self.tick)
         self.loop.clock = reactor
 
@@ -246,20 +270,37 @@
         self.own_report = self.load_report()
         for peer in list(self.peers.values()):
             peer.tick(now)
-        self.on_reports(self.reports(now))
-
-    def reports(self, now: float) -> list[LoadReport]:
-        """Return the latest report of each node that was heard lately."""
-        # Of a node that has just returned the former connection may be open.
-        latest = {
-            connection.peer_address: connection.report
-            for connection in sorted(
-                self.serving, key=lambda connection: connection.last_input
-            )
-            if connection.report is not None
-            and now - connection.last_input < SILENT_SECONDS
-        }
-        return [self.own_report, *latest.values()]
+        self.on_reports(self.reports.all(self.own_report))
+        if now - self.spoke_at >= REPORT_SECONDS * 0.9 and self.is_speaker():
+            self.spoke_at = now
+            self.send_sum()
+
+    def is_speaker(self) -> bool:
+        """Whether this node reports for its failure domain.
+
+        The reachable node with the lowest address does.
+        """
+        own = (self.own_address.host, self.own_address.port)
+        return all(
+            own < (peer.address.host, peer.address.port)
+            for peer in self.peers.values()
+            if peer.near and peer.usable
+        )
+
+    def send_sum(self):
+        """Send the load of our failure domain to all others."""
+        reports = [self.own_report, *self.reports.near_reports()]
+        message = DomainLoad(len(reports), merge(reports))
+        for peer in self.peers.values():
+            if not peer.near and peer.connection is not None:
+                peer.connection.send(message)
+
+    def count_near(self):
+        """Adapt the interval of pings to the size of our failure domain."""
+        near = sum(peer.near for peer in self.peers.values())
+        self.near_ping_seconds = min(
+            FAR_PING_SECONDS, NEAR_PING_SECONDS * max(1.0, near / FEW_PEERS)
+        )
 
     def add(self, address: Address):
         """Learn of a node; a known one that returned is dialled at once."""
@@ -292,7 +333,7 @@
             if server.state in ("ready", "draining", "leaving"):
                 grouped.setdefault(server.service, []).append(server)
         self.by_service = {
-            service: nearest_first(servers, self.local.failure_domain)
+            service: ServerGroup(servers, self.local.failure_domain)
             for service, servers in grouped.items()
         }
 
--- a/tests/test_proxy_forward.py
+++ b/tests/test_proxy_forward.py
@@ -7,6 +7,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from flamingosail.proxy.balance import Balance
+from flamingosail.proxy.balance import ServerGroup
 from flamingosail.proxy.client import Exchange
 from flamingosail.proxy.forward import Forwarder
 from flamingosail.proxy.gate import CALL_FAILED
@@ -83,7 +84,9 @@
         self.far = FakeServer("far", "fd-b")
         self.peers = SimpleNamespace(
             gate=make_gate(self.clock),
-            by_service={"histbook": [self.near, self.far]},
+            by_service={
+                "histbook": ServerGroup([self.near, self.far], "fd-a")
+            },
         )
         random = Random(1)
         self.forwarder = Forwarder(
--- /dev/null
+++ b/tests/test_proxy_peers.py
@@ -0,0 +1,191 @@
+"""Tests of what nodes tell each other, and at what price."""
+
+from testtools import TestCase
+from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
+
+from flamingosail.proxy.hop import Call
+from flamingosail.proxy.hop import DomainLoad
+from flamingosail.proxy.hop import encode_frame
+from flamingosail.proxy.hop import FrameBuffer
+from flamingosail.proxy.hop import Hello
+from flamingosail.proxy.hop import Ping
+from flamingosail.proxy.hop import Pong
+from flamingosail.proxy.loadreports import LoadReports
+from flamingosail.proxy.loadreports import merge
+from flamingosail.proxy.overload import Admission
+from flamingosail.proxy.overload import LoadReport
+from flamingosail.proxy.peers import Peer
+from flamingosail.proxy.peers import PeerTable
+from flamingosail.proxy.peers import TICK_SECONDS
+from flamingosail.proxy.servers import LocalServer
+from flamingosail.settings import Address
+from tests.proxyfakes import ClosingTransport
+from tests.proxyfakes import make_gate
+
+OWN = Address("10.0.0.5", 80)
+CALL = {
+    "request_id": b"a",
+    "service": "histbook",
+    "line": b"GET /a HTTP/1.1\r\n",
+    "head": b"",
+    "body": b"",
+    "left_ms": 1000,
+    "idempotent": True,
+    "origin": 1,
+    "rank": 1,
+    "repeat": False,
+}
+
+
+class PeerTableTest(TestCase):
+    """Guards the price of the mesh and the detection of silent peers."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = MemoryReactorClock()
+        self.clock.advance(10.0)
+        gate = make_gate(self.clock)
+        self.report = LoadReport("histbook", 10, 2, {1: 30}, {1: 20}, {1: 50})
+        self.table = PeerTable(
+            reactor=self.clock,
+            gate=gate,
+            local=LocalServer(gate=gate, failure_domain="fd-a"),
+            own_address=OWN,
+            hello=lambda: Hello("own", "i", "fd-a", str(OWN)),
+            status=lambda: None,
+            load_report=lambda: self.report,
+            on_reports=lambda reports: None,
+            config_version=lambda: 1,
+            config_document=lambda: b"",
+            on_config=lambda document: None,
+        )
+        self.transports = {}
+
+    def join(self, host: str, failure_domain: str) -> Peer:
+        """Add a peer that has introduced itself."""
+        address = Address(host, 80)
+        self.table.add(address)
+        peer = self.table.peers[address]
+        protocol = self.clock.tcpClients[-1][2].buildProtocol(None)
+        self.transports[peer] = ClosingTransport()
+        protocol.makeConnection(self.transports[peer])
+        self.answer(peer, Hello("peer", "i", failure_domain, str(address)))
+        return peer
+
+    def answer(self, peer: Peer, message):
+        peer.connection.dataReceived(encode_frame(message))
+
+    def sent(self, peer: Peer, kind: type) -> list:
+        """Return what was sent to a peer since the last call."""
+        transport = self.transports[peer]
+        messages = FrameBuffer().feed(transport.value())
+        transport.clear()
+        return [message for message in messages if type(message) is kind]
+
+    def run_for(self, seconds: float, *answering: Peer) -> dict:
+        """Let time pass and return the pings to each peer."""
+        pings = {peer: [] for peer in self.transports}
+        for _ in range(round(seconds / TICK_SECONDS)):
+            self.clock.advance(TICK_SECONDS)
+            self.table.tick()
+            for peer in self.transports:
+                new = self.sent(peer, Ping)
+                pings[peer] += new
+                if new and peer in answering:
+                    self.answer(peer, Pong(1, 0, 0, 10, 1))
+        return pings
+
+    def test_a_far_peer_without_calls_is_pinged_seldom(self):
+        near, far = self.join("10.0.0.6", "fd-a"), self.join("10.0.0.7", "b")
+        pings = self.run_for(20.0, near, far)
+        self.assertGreaterEqual(len(pings[near]), 38)
+        self.assertLessEqual(len(pings[far]), 6)
+        self.assertIsNone(pings[far][0].report)
+        self.assertIsNotNone(pings[near][0].report)
+
+    def test_a_call_to_an_idle_far_peer_asks_whether_it_is_there(self):
+        """Without it, calls across a cut would be sent for an interval."""
+        far = self.join("10.0.0.7", "fd-b")
+        self.run_for(6.5, far)
+        far.connection.call(1, CALL)
+        data = self.transports[far].value()
+        kinds = [type(message) for message in FrameBuffer().feed(data)]
+        self.assertEqual([Ping, Call], kinds)
+        self.assertTrue(far.usable)
+        self.clock.advance(1.0)
+        self.assertFalse(far.usable)
+
+    def test_a_silent_peer_gets_no_calls_and_is_closed(self):
+        near = self.join("10.0.0.6", "fd-a")
+        self.run_for(1.0)
+        self.assertFalse(near.usable)
+        self.run_for(2.0)
+        self.assertTrue(self.transports[near].aborted)
+
+    def test_pings_of_a_large_domain_are_spread(self):
+        peers = [self.join(f"10.0.1.{n}", "fd-a") for n in range(40)]
+        pings = self.run_for(10.0, *peers)
+        self.assertLessEqual(sum(map(len, pings.values())), 440)
+
+    def test_one_node_of_a_domain_reports_to_the_others(self):
+        near, far = self.join("10.0.0.6", "fd-a"), self.join("10.0.0.7", "b")
+        self.table.reports.take_report("10.0.0.6:80", self.report)
+        self.table.tick()
+        self.assertEqual([], self.sent(near, DomainLoad))
+        (message,) = self.sent(far, DomainLoad)
+        self.assertEqual(2, message.nodes)
+        self.assertEqual(
+            [LoadReport("histbook", 20, 4, {1: 60}, {1: 40}, {1: 100})],
+            message.reports,
+        )
+
+    def test_the_next_node_reports_when_the_speaker_is_silent(self):
+        speaker = self.join("10.0.0.4", "fd-a")
+        far = self.join("10.0.0.7", "fd-b")
+        self.table.tick()
+        self.assertEqual([], self.sent(far, DomainLoad))
+        self.clock.advance(1.0)
+        self.assertFalse(speaker.usable)
+        self.table.tick()
+        self.assertEqual(1, len(self.sent(far, DomainLoad)))
+
+
+class LoadReportsTest(TestCase):
+    """Guards the admission against counting nodes twice or not at all."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.reports = LoadReports(clock=self.clock)
+        self.own = LoadReport("deep", 4, 0, {1: 10}, {}, {})
+
+    def test_sums_lead_to_the_same_shares_as_their_reports(self):
+        singles = [
+            LoadReport("deep", 10, 3, {1: 400}, {1: 200}, {1: 900, 2: 50}),
+            LoadReport("deep", 0, 9, {1: 100}, {1: 50}, {1: 700}),
+            LoadReport("deep", 10, 8, {1: 500}, {1: 200}, {1: 950, 2: 40}),
+            LoadReport("front", 50, 0, {2: 300}, {2: 250}, {1: 200}),
+        ]
+        shares = []
+        for reports in (singles, merge(singles)):
+            admission = Admission(clock=self.clock)
+            admission.compute(reports, {1: 1, 2: 2})
+            shares.append(admission.shares)
+        self.assertNotEqual({}, shares[0])
+        self.assertEqual(*shares)
+
+    def test_the_sum_over_more_nodes_counts(self):
+        """A node that is cut off takes itself for the speaker."""
+        whole = LoadReport("deep", 40, 0, {}, {}, {})
+        part = LoadReport("deep", 4, 0, {}, {}, {})
+        self.reports.take_sum("fd-b", "10.0.0.1:80", 10, [whole])
+        self.reports.take_sum("fd-b", "10.0.0.9:80", 1, [part])
+        self.assertEqual([self.own, whole], self.reports.all(self.own))
+
+    def test_old_reports_do_not_count(self):
+        self.reports.take_report("10.0.0.2:80", self.own)
+        self.reports.take_sum("fd-b", "10.0.0.1:80", 1, [self.own])
+        self.assertEqual(3, len(self.reports.all(self.own)))
+        self.clock.advance(3.0)
+        self.assertEqual([self.own], self.reports.all(self.own))
