Drop settings and fields that are decoded and never used

ServerAnswer.load, Route.objective_seconds and ServiceSpec had no reader: the gate counts what runs at its server itself, and sends no health checks.

--- a/flamingosail/proxy/backendserver.py
+++ b/flamingosail/proxy/backendserver.py
@@ -41,7 +41,6 @@
         "body",
         "proof",
         "not_executed",
-        "load",
         "instance",
     )
 
@@ -133,7 +132,6 @@
         self.answer_id = None
         self.proof = b""
         self.not_executed = False
-        self.load = None
         self.instance = None
         self.keep_alive = False
 
@@ -211,8 +209,7 @@
             self.proof = value
             return
         if lower == dialect.load:
-            self.load = value
-            return
+            return  # the gate counts what runs at its server itself
         if lower == dialect.not_executed:
             self.not_executed = True
             return
@@ -282,7 +279,6 @@
             body=chunks[0] if len(chunks) == 1 else b"".join(chunks),
             proof=self.proof,
             not_executed=self.not_executed,
-            load=self.load,
             instance=self.instance,
         )
         unread = getattr(self.transport, "dataBuffer", b"") or getattr(
--- a/flamingosail/proxy/routes.py
+++ b/flamingosail/proxy/routes.py
@@ -7,7 +7,6 @@
     "ClientLimits",
     "Route",
     "RouteTable",
-    "ServiceSpec",
     "SplitBalance",
     "WeightedService",
 ]
@@ -26,28 +25,18 @@
     """Where the requests below a path go and what may be done with them.
 
     ``timeout_seconds`` bounds how long a request is kept waiting,
-    ``objective_seconds`` is the latency that is aimed at, ``priority`` its
-    rank (0 is the most important) and ``max_attempts`` the number of servers
-    that may run one request.
+    ``priority`` is its rank (0 is the most important) and ``max_attempts``
+    the number of servers that may run one request.
     """
 
     name: str
     services: tuple[WeightedService, ...]
     idempotent: bool
     timeout_seconds: float
-    objective_seconds: float
     priority: int
     max_attempts: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ServiceSpec:
-    """What the configuration says of a service."""
-
-    health_path: str
-    max_connections: int
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClientLimits:
     """Bounds of what a client may send and how long it may take."""
@@ -68,7 +57,6 @@
 
     version: int
     hosts: Mapping[bytes, Mapping[bytes, Route]]
-    services: Mapping[str, ServiceSpec]
     limits: ClientLimits
 
     def find(self, host: bytes, target: bytes) -> Route | None:
--- a/tests/proxyfakes.py
+++ b/tests/proxyfakes.py
@@ -69,7 +69,6 @@
         "services": (WeightedService(service="histbook", weight=1.0),),
         "idempotent": True,
         "timeout_seconds": 2.0,
-        "objective_seconds": 1.0,
         "priority": 1,
         "max_attempts": 2,
     }
@@ -130,7 +129,6 @@
         "body": b"whole",
         "proof": b"p",
         "not_executed": False,
-        "load": None,
         "instance": None,
     }
     return ServerAnswer(**{**fields, **changes})
--- a/tests/test_proxy_forward.py
+++ b/tests/test_proxy_forward.py
@@ -112,7 +112,6 @@
             RouteTable(
                 version=1,
                 hosts={b"h": self.routes},
-                services={},
                 limits=ClientLimits(),
             )
         )
