--- a/flamingosail/proxy/overload.py
+++ b/flamingosail/proxy/overload.py
@@ -38,7 +38,11 @@
 # this share of its slots, and while fewer do.
 LONG_QUEUE = 1.0
 FILL_DECREASE = 0.95
-FILL_INCREASE = 0.03
+FILL_INCREASE = 0.08
+# A queue that is longer than this share of the slots is to be gone within
+# this time; new requests get what that leaves.
+SHORT_QUEUE = 0.25
+DRAIN_SECONDS = 1.0
 # A little of each route always passes, so that costs stay known.
 LOWEST_SHARE = 0.02
 # A service is part of a route's cost above this many slot seconds a request.
@@ -248,6 +252,25 @@
                     weight = rising if seen > known else falling
                     self.costs[pair] = known + weight * (seen - known)
 
+    def backlog(
+        self,
+        load: ServiceLoad,
+        demands: dict[int, list[tuple[int, float]]],
+        offered: dict[int, float],
+    ) -> float:
+        """Return the slots that a queue needs to be gone soon.
+
+        Each call that waits belongs to a request that has half of its calls
+        before it, on average.
+        """
+        pairs = [pair for pairs in demands.values() for pair in pairs]
+        rate = sum(offered[key] for key, _ in pairs)
+        waiting = load.waiting - SHORT_QUEUE * load.room
+        if waiting <= 0 or not rate:
+            return 0.0
+        mean_cost = sum(need for _, need in pairs) / rate
+        return waiting * mean_cost / 2 / DRAIN_SECONDS
+
     def share_out(
         self,
         service: str,
@@ -264,7 +287,7 @@
                 demands.setdefault(priorities[key], []).append(
                     (key, rate * cost)
                 )
-        left = load.room * load.fill
+        left = load.room * load.fill - self.backlog(load, demands, offered)
         for priority in sorted(demands):
             demand = sum(need for _, need in demands[priority])
             share = max(LOWEST_SHARE, min(1.0, left / demand))
--- a/tests/test_proxy_overload.py
+++ b/tests/test_proxy_overload.py
@@ -101,6 +101,21 @@
         self.assertGreater(share[CHECK], 0.95)
         self.assertGreater(share[CHECK], share[READ])
 
+    def test_the_queue_is_soon_short_when_servers_are_lost(self):
+        """A standing queue makes all requests late and serves none more."""
+        rates = {READ: 100.0, CHECK: 50.0}
+        model = DeepServiceModel(slots=10, admission=True)
+        model.run(seconds=8, rates=rates)
+        model.slots = 6
+        model.run(seconds=4, rates=rates)
+        served = model.done[READ]
+        for _ in range(6):
+            model.run(seconds=1, rates=rates)
+            # 0.1 s of waiting for each call.
+            self.assertLess(len(model.queue), 0.1 * 6 / 0.02)
+        # The slots that are left can do 62 reads a second beside the checks.
+        self.assertGreater(model.done[READ] - served, 0.85 * 6 * 62)
+
     def test_all_are_admitted_again_soon_after_the_overload(self):
         model = DeepServiceModel(slots=10, admission=True)
         model.run(seconds=10, rates={READ: 400.0, CHECK: 100.0})
