--- a/flamingosail/proxy/backendserver.py
+++ b/flamingosail/proxy/backendserver.py
@@ -1,26 +1,20 @@
 """Connections to the backend server of this VM, one request at a time."""
 
-from collections import deque
 from collections.abc import Callable
 
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
 from httptools import HttpResponseParser
 from twisted.internet.error import ConnectionDone
-from twisted.internet.interfaces import IReactorTCP
-from twisted.internet.protocol import ClientFactory
 from twisted.internet.protocol import Protocol
 
 from flamingosail.httpclient import PEEK
 from flamingosail.httpheaders import DROPPED_HEADERS
-from flamingosail.proxy.dialect import Dialect
-from flamingosail.settings import Address
 from flamingosail.sockets import prepare
 from flamingosail.sockets import write_now
 
-__all__ = ["ServerAnswer", "ServerPool", "ServerRequest"]
+__all__ = ["ServerAnswer", "ServerConnection", "ServerRequest"]
 
-CONNECT_TIMEOUT_SECONDS = 1.0
 # Servers close idle connections; without a Keep-Alive header of theirs, one
 # that was idle for longer than this is not used again.
 IDLE_SECONDS = 4.0
@@ -107,9 +101,9 @@
 
 
 class ServerConnection(Protocol):
-    """A kept connection to the backend server."""
+    """A kept connection to the backend server; ``pool`` is its ServerPool."""
 
-    def __init__(self, *, pool: "ServerPool"):
+    def __init__(self, *, pool):
         self.pool = pool
         self.dialect = pool.dialect
         self.parser = HttpResponseParser(self)
@@ -319,111 +313,6 @@
         return False
 
 
-class ConnectionOpener(ClientFactory):
-    """Opens one connection for one request."""
-
-    noisy = False
-
-    def __init__(self, *, pool: "ServerPool", request: ServerRequest):
-        self.pool = pool
-        self.request = request
-
-    def buildProtocol(self, addr):  # noqa: N802 - named by twisted
-        """Return a connection that sends the request once it is open."""
-        return OpeningConnection(pool=self.pool, request=self.request)
-
-    def clientConnectionFailed(  # noqa: N802 - named by twisted
-        self, connector, reason
-    ):
-        """End the request: not a byte was sent."""
-        self.pool.connecting -= 1
-        self.request.connector = None
-        self.request.end(None, f"connecting failed: {reason.value}")
-
-
-class OpeningConnection(ServerConnection):
-    """A connection that begins with a request."""
-
-    def __init__(self, *, pool: "ServerPool", request: ServerRequest):
-        super().__init__(pool=pool)
-        self.first = request
-
-    def connectionMade(self):  # noqa: N802 - named by twisted
-        """Send the request, unless it was given up meanwhile."""
-        super().connectionMade()
-        self.pool.opened(self)
-        request, self.first = self.first, None
-        request.connector = None
-        if request.over:
-            self.pool.put_back(self)
-        else:
-            self.send(request)
-
-
-class ServerPool:
-    """Keeps connections to one address; the last used is used first."""
-
-    def __init__(
-        self, *, reactor: IReactorTCP, dialect: Dialect, address: Address
-    ):
-        self.reactor = reactor
-        self.dialect = dialect
-        self.address = address
-        self.idle: deque[ServerConnection] = deque()
-        self.connections: set[ServerConnection] = set()
-        self.connecting = 0
-        self.connects = 0
-
-    def send(self, request: ServerRequest):
-        """Send a request on a kept connection or a new one."""
-        connection = self.take_idle(checked=not request.idempotent)
-        if connection is not None:
-            connection.send(request)
-            return
-        self.connecting += 1
-        self.connects += 1
-        request.connector = self.reactor.connectTCP(
-            self.address.host,
-            self.address.port,
-            ConnectionOpener(pool=self, request=request),
-            timeout=CONNECT_TIMEOUT_SECONDS,
-        )
-
-    def take_idle(self, *, checked: bool) -> ServerConnection | None:
-        """Return a connection that is surely open, if there is one."""
-        now = self.reactor.seconds()
-        while self.idle:
-            connection = self.idle.pop()
-            if now - connection.idle_since > connection.idle_limit:
-                connection.close()
-            elif not checked or connection.intact():
-                return connection
-            else:
-                connection.close()
-        return None
-
-    def put_back(self, connection: ServerConnection):
-        """Keep a connection for the next request."""
-        connection.idle_since = self.reactor.seconds()
-        self.idle.append(connection)
-
-    def opened(self, connection: ServerConnection):
-        """Count a new connection."""
-        self.connecting -= 1
-        self.connections.add(connection)
-
-    def lost(self, connection: ServerConnection):
-        """Forget a connection."""
-        self.connections.discard(connection)
-        if connection in self.idle:
-            self.idle.remove(connection)
-
-    def close_idle(self):
-        """Close the connections that nobody uses."""
-        while self.idle:
-            self.idle.pop().close()
-
-
 def parse_keep_alive(value: bytes, default: float) -> float:
     """Return for how long an idle connection may be used, in seconds."""
     for part in value.split(b","):
--- a/flamingosail/proxy/client.py
+++ b/flamingosail/proxy/client.py
@@ -5,7 +5,6 @@
 """
 
 from collections import deque
-from typing import Protocol as Interface
 
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
@@ -17,15 +16,15 @@
 from twisted.internet.task import LoopingCall
 
 from flamingosail.httpheaders import DROPPED_HEADERS
-from flamingosail.httpwire import BODILESS
 from flamingosail.httpwire import CONTINUE
-from flamingosail.httpwire import status_line
 from flamingosail.proxy.dialect import Dialect
+from flamingosail.proxy.exchange import Exchange
+from flamingosail.proxy.exchange import ExchangeHandler
 from flamingosail.proxy.routes import ClientLimits
 from flamingosail.sockets import prepare
 from flamingosail.sockets import write_now
 
-__all__ = ["ClientListener", "Exchange", "ExchangeHandler"]
+__all__ = ["ClientListener"]
 
 # Requests of one connection that may wait for their answers at a time.
 MAX_PIPELINED = 64
@@ -42,73 +41,6 @@
 log = Logger("proxy.client")
 
 
-class ExchangeHandler(Interface):
-    """What a client connection needs of its node."""
-
-    limits: ClientLimits
-
-    def handle(self, exchange: "Exchange"):
-        """A request is complete; call ``exchange.answer`` once."""
-
-    def cancelled(self, exchange: "Exchange"):
-        """The client has left before the answer."""
-
-
-class Exchange:
-    """One request of a client and its answer.
-
-    ``head`` holds the header lines that are passed on but for the request
-    id, ``left_ms`` the time
-    that the client waits (None if not stated) and ``arrived`` the reactor's
-    time. ``call`` is for the handler's use.
-    """
-
-    __slots__ = (
-        "connection",
-        "arrived",
-        "request_id",
-        "method",
-        "target",
-        "host",
-        "head",
-        "body",
-        "left_ms",
-        "keep_alive",
-        "output",
-        "call",
-        "over",
-    )
-
-    def __init__(self, *, connection: "ClientConnection"):
-        self.connection = connection
-        self.request_id = b""
-        self.method = b""
-        self.target = b""
-        self.host = b""
-        self.head: list[bytes] = []
-        self.body = b""
-        self.left_ms = None
-        self.keep_alive = True
-        self.output = None
-        self.call = None
-        self.over = False
-
-    def answer(self, status: int, head: bytes, body: bytes = b""):
-        """Send the answer, once those before it are sent.
-
-        ``head`` holds whole header lines. Does nothing if the client left.
-        """
-        if self.over:
-            return
-        self.over = True
-        if status in BODILESS or self.method == b"HEAD":
-            length, body = b"", b""
-        else:
-            length = b"Content-Length: %d\r\n" % len(body)
-        self.output = (status_line(status) + head + length, body)
-        self.connection.flush()
-
-
 class _Rejected(Exception):
     """Stops the parser within a callback."""
 
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -15,7 +15,6 @@
 from twisted.internet.interfaces import IReactorTime
 
 from flamingosail.proxy.backendserver import ServerAnswer
-from flamingosail.proxy.backendserver import ServerPool
 from flamingosail.proxy.backendserver import ServerRequest
 from flamingosail.proxy.decisions import DecisionLog
 from flamingosail.proxy.dialect import Dialect
@@ -24,6 +23,7 @@
 from flamingosail.proxy.job import ServerReport
 from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.overload import LoadMeter
+from flamingosail.proxy.serverpool import ServerPool
 from flamingosail.proxy.timeouts import Timeouts
 
 __all__ = ["CALL_FAILED", "Gate"]
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -7,7 +7,6 @@
 from logbook import Logger
 from twisted.internet.defer import Deferred
 
-from flamingosail.proxy.backendserver import ServerPool
 from flamingosail.proxy.balance import Balance
 from flamingosail.proxy.budget import RepeatBudget
 from flamingosail.proxy.client import ClientListener
@@ -22,6 +21,7 @@
 from flamingosail.proxy.overload import LoadReport
 from flamingosail.proxy.peers import PeerTable
 from flamingosail.proxy.routes import RouteTable
+from flamingosail.proxy.serverpool import ServerPool
 from flamingosail.proxy.servers import LocalServer
 from flamingosail.settings import Address
 
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -7,10 +7,10 @@
 from twisted.python.failure import Failure
 
 from flamingosail.proxy.backendserver import ServerConnection
-from flamingosail.proxy.backendserver import ServerPool
 from flamingosail.proxy.backendserver import ServerRequest
 from flamingosail.proxy.client import ClientListener
 from flamingosail.proxy.routes import ClientLimits
+from flamingosail.proxy.serverpool import ServerPool
 from flamingosail.settings import Address
 from tests.proxyfakes import ClosingTransport
 from tests.proxyfakes import DIALECT
--- a/tests/test_proxy_forward.py
+++ b/tests/test_proxy_forward.py
@@ -9,7 +9,7 @@
 from flamingosail.proxy.balance import Balance
 from flamingosail.proxy.balance import ServerGroup
 from flamingosail.proxy.budget import RepeatBudget
-from flamingosail.proxy.client import Exchange
+from flamingosail.proxy.exchange import Exchange
 from flamingosail.proxy.forward import Forwarder
 from flamingosail.proxy.gate import CALL_FAILED
 from flamingosail.proxy.hop import Outcome
