Count requests that are under way as half served when learning costs

Cause: after a restart, and while a queue grows, calls are seen long before the ends of their requests, and costs look too high. The exception of 3 s for that did not hold with a long queue, which a restart under load has. Change: nodes report by how many a second the requests under way become more.

--- a/flamingosail/proxy/overload.py
+++ b/flamingosail/proxy/overload.py
@@ -26,10 +26,8 @@
 # fast is wasted work.
 COST_RISE_SECONDS = 6.0
 COST_FALL_SECONDS = 1.5
-# After a start the calls of requests are seen before their ends, and costs
-# look too high for as long as requests take. Until then all that began are
-# taken to be served, unless a long queue shows that they are not.
-SETTLE_SECONDS = 3.0
+# A request that is under way has used this share of its cost, on average.
+UNDER_WAY_SHARE = 0.5
 # Share of the slots that admitted requests may take; the rest takes up the
 # randomness of arrivals.
 TARGET_FILL = 0.92
@@ -62,7 +60,8 @@
     key of their route, in tenths, ``completed`` those of them that a server
     answered with success; ``usage`` is the number of
     slots of the node's server that the requests of a route take, in
-    hundredths.
+    hundredths. ``growth`` is by how many a second the requests that are
+    under way become more, in tenths.
     """
 
     service: str = ""
@@ -71,6 +70,7 @@
     offered: dict[int, int] = {}
     completed: dict[int, int] = {}
     usage: dict[int, int] = {}
+    growth: dict[int, int] = {}
 
 
 def route_key(name: str) -> int:
@@ -88,16 +88,21 @@
         self.offered: dict[int, float] = {}
         self.completed: dict[int, float] = {}
         self.used: dict[int, float] = {}
+        self.under_way: dict[int, float] = {}
 
-    def began(self, key: int):
-        """Count a request that begins here."""
+    def began(self, key: int, *, admitted: bool):
+        """Count a request that begins here, or is refused."""
         self.offered[key] = self.offered.get(key, 0.0) + 1.0
+        if admitted:
+            self.under_way[key] = self.under_way.get(key, 0.0) + 1.0
 
-    def succeeded(self, key: int):
-        """Count a request that began here and was served."""
-        self.completed[key] = self.completed.get(key, 0.0) + 1.0
+    def ended(self, key: int, *, served: bool):
+        """Count the end of a request that was admitted here."""
+        self.under_way[key] = self.under_way.get(key, 0.0) - 1.0
+        if served:
+            self.completed[key] = self.completed.get(key, 0.0) + 1.0
 
-    def served(self, key: int, seconds: float):
+    def used_slot(self, key: int, seconds: float):
         """Count the time that a request took at our server."""
         self.used[key] = self.used.get(key, 0.0) + seconds
 
@@ -110,10 +115,12 @@
         window = MEMORY_SECONDS * (
             1 - exp((self.started - now) / MEMORY_SECONDS)
         )
-        scales = (RATE_SCALE, RATE_SCALE, USAGE_SCALE)
         rates = []
-        for sums, scale in zip(
-            (self.offered, self.completed, self.used), scales, strict=True
+        for sums, scale in (
+            (self.offered, RATE_SCALE),
+            (self.completed, RATE_SCALE),
+            (self.used, USAGE_SCALE),
+            (self.under_way, RATE_SCALE),
         ):
             rate = {}
             for key in list(sums):
@@ -121,7 +128,7 @@
                 number = round(sums[key] * scale / max(window, 0.1))
                 if number:
                     rate[key] = number
-                elif sums[key] < 0.001:
+                elif abs(sums[key]) < 0.001:
                     del sums[key]
             rates.append(rate)
         return LoadReport(service, room, waiting, *rates)
@@ -165,7 +172,6 @@
     def __init__(self, *, clock: IReactorTime):
         self.clock = clock
         self.costs: dict[tuple[int, str], float] = {}
-        self.served_since: dict[int, float] = {}
         self.services: dict[str, ServiceLoad] = {}
         self.shares: dict[int, float] = {}
         self.binding: dict[int, str] = {}
@@ -195,6 +201,7 @@
         elapsed, self.computed_at = now - self.computed_at, now
         offered: dict[int, float] = {}
         completed: dict[int, float] = {}
+        growth: dict[int, float] = {}
         usage: dict[tuple[int, str], float] = {}
         for load in self.services.values():
             load.room = load.waiting = 0
@@ -203,6 +210,8 @@
                 offered[key] = offered.get(key, 0.0) + rate / RATE_SCALE
             for key, rate in report.completed.items():
                 completed[key] = completed.get(key, 0.0) + rate / RATE_SCALE
+            for key, rate in report.growth.items():
+                growth[key] = growth.get(key, 0.0) + rate / RATE_SCALE
             if not report.room:
                 continue
             load = self.services.setdefault(report.service, ServiceLoad())
@@ -211,7 +220,11 @@
             for key, used in report.usage.items():
                 pair = (key, report.service)
                 usage[pair] = usage.get(pair, 0.0) + used / USAGE_SCALE
-        self.learn(elapsed, offered, completed, usage)
+        served = {
+            key: rate + max(0.0, growth.get(key, 0.0)) * UNDER_WAY_SHARE
+            for key, rate in completed.items()
+        }
+        self.learn(elapsed, served, usage)
         shares: dict[int, float] = {}
         self.binding = {}
         for service, load in self.services.items():
@@ -220,31 +233,25 @@
                 self.share_out(service, load, offered, priorities, shares)
         self.shares = shares
 
-    def learn(
-        self, elapsed: float, offered: dict, completed: dict, usage: dict
-    ):
+    def learn(self, elapsed: float, served: dict, usage: dict):
         """Move the costs of the routes that are in use to what is seen.
 
-        What is seen is the usage by requests that were served. Under
-        overload it holds wasted work as well, and is too high until the
+        What is seen is the usage by requests that were served; one that is
+        under way counts as half served, since after a start and in a growing
+        queue calls are seen long before the ends of their requests. Under
+        overload usage holds wasted work as well, and is too high until the
         shares have ended that. Divided by all that began, it would be too
         low, since what waits in vain uses nothing, and nothing would ever be
         refused.
         """
         rising = 1 - exp(-elapsed / COST_RISE_SECONDS)
         falling = 1 - exp(-elapsed / COST_FALL_SECONDS)
-        now = self.clock.seconds()
-        for key, rate in completed.items():
+        for key, rate in served.items():
             if rate < KNOWN_RATE:
                 continue
-            since = self.served_since.setdefault(key, now)
-            for service, load in self.services.items():
+            for service in self.services:
                 pair = (key, service)
-                served = rate
-                if now - since < SETTLE_SECONDS and not load.queue_is_long:
-                    share = self.shares.get(key, 1.0)
-                    served = max(rate, share * offered.get(key, 0.0))
-                seen = usage.get(pair, 0.0) / served
+                seen = usage.get(pair, 0.0) / rate
                 known = self.costs.get(pair)
                 if known is None:
                     self.costs[pair] = seen
--- a/tests/test_proxy_overload.py
+++ b/tests/test_proxy_overload.py
@@ -54,7 +54,7 @@
         """Admit a request and queue its calls, those of checks first."""
         self.asked[key] += 1
         admitted = self.admission is None or self.admission.admits(key)
-        self.meter.began(key)
+        self.meter.began(key, admitted=admitted)
         if admitted:
             request = {"key": key, "left": 4 if key == READ else 1}
             now = self.clock.seconds()
@@ -66,19 +66,20 @@
         self.queue.sort(key=lambda call: call[:2])
         for _ in range(round(self.slots * STEP / 0.02)):
             while self.queue and now - self.queue[0][1] > 0.7:
-                self.queue.pop(0)
+                _, _, request = self.queue.pop(0)
+                self.meter.ended(request["key"], served=False)
             if not self.queue:
                 return
             _, _, request = self.queue.pop(0)
             self.spent_calls += 1
-            self.meter.served(request["key"], 0.02)
+            self.meter.used_slot(request["key"], 0.02)
             request["left"] -= 1
             if request["left"]:
                 # The next call follows when the one before is answered.
                 self.queue.append((PRIORITIES[request["key"]], now, request))
             else:
                 self.done[request["key"]] += 1
-                self.meter.succeeded(request["key"])
+                self.meter.ended(request["key"], served=True)
 
 
 class AdmissionTest(TestCase):
@@ -138,10 +139,11 @@
             clock.advance(0.1)
             for _ in range(10):
                 for key in (READ, other):
-                    meter.began(key)
-                    if admission.admits(key):
-                        meter.succeeded(key)
-                meter.served(READ, 0.1)
+                    admitted = admission.admits(key)
+                    meter.began(key, admitted=admitted)
+                    if admitted:
+                        meter.ended(key, served=True)
+                meter.used_slot(READ, 0.1)
             report = meter.report("deep", 4, 20)
             admission.compute([report], {READ: 2, other: 2})
         self.assertIn(READ, admission.shares)
@@ -170,10 +172,10 @@
         for step in range(100):
             clock.advance(0.05)
             for _ in range(2):
-                meter.began(READ)
-                meter.served(READ, 0.08)
+                meter.began(READ, admitted=True)
+                meter.used_slot(READ, 0.08)
                 if step >= 20:
-                    meter.succeeded(READ)
+                    meter.ended(READ, served=True)
             if step % 10 == 9:
                 # 40 requests a second of 80 ms take 3.2 of 5 slots.
                 report = meter.report("deep", 5, 0)
