Know the load of far servers from the sums of their domain

Change: a server that did not report within a second gets its part of the load in the sum that the speaker of its domain sends each second.

--- a/flamingosail/proxy/hopconnection.py
+++ b/flamingosail/proxy/hopconnection.py
@@ -130,11 +130,8 @@
                     self.peer_address, message.report
                 )
         elif kind is DomainLoad:
-            self.table.reports.take_sum(
-                self.failure_domain,
-                self.peer_address,
-                message.nodes,
-                message.reports,
+            self.table.take_sum(
+                self.failure_domain, self.peer_address, message
             )
         elif kind is Hello:
             self.peer_address = message.address
--- a/flamingosail/proxy/overload.py
+++ b/flamingosail/proxy/overload.py
@@ -17,7 +17,13 @@
 from twisted.internet.interfaces import IReactorTime
 from xxhash import xxh32_intdigest
 
-__all__ = ["Admission", "LoadMeter", "LoadReport", "route_key"]
+__all__ = [
+    "Admission",
+    "LoadMeter",
+    "LoadReport",
+    "USAGE_SCALE",
+    "route_key",
+]
 
 # Rates and usage forget with this time constant; the calls of a request
 # follow it within this time.
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -28,6 +28,7 @@
 from flamingosail.proxy.loadreports import merge
 from flamingosail.proxy.loadreports import REPORT_SECONDS
 from flamingosail.proxy.overload import LoadReport
+from flamingosail.proxy.overload import USAGE_SCALE
 from flamingosail.proxy.servers import LocalServer
 from flamingosail.proxy.servers import RemoteServer
 from flamingosail.settings import Address
@@ -89,6 +90,21 @@
         self.node = ""
         self.near = False
         self.used_at = 0.0
+        self.reported_at = 0.0
+
+    def take_report(self, running: int, waiting: int, room: int):
+        """Note the load that the gate reported."""
+        super().take_report(running, waiting, room)
+        self.reported_at = self.table.clock.seconds()
+
+    def take_share(self, report: LoadReport):
+        """Note our part of the load of all servers of the service."""
+        if report.room:
+            part = self.room / report.room
+            used = sum(report.usage.values()) / USAGE_SCALE
+            super().take_report(
+                round(used * part), round(report.waiting * part), self.room
+            )
 
     def dial(self, now: float):
         """Open a connection unless one is open or being opened."""
@@ -295,6 +311,24 @@
             if not peer.near and peer.connection is not None:
                 peer.connection.send(message)
 
+    def take_sum(self, failure_domain: str, sender: str, message: DomainLoad):
+        """Take in the load of another failure domain.
+
+        Of far servers that were not asked lately it is the latest news; with
+        older ones, a domain that is full would get what ours cannot take.
+        """
+        self.reports.take_sum(
+            failure_domain, sender, message.nodes, message.reports
+        )
+        oldest = self.clock.seconds() - REPORT_SECONDS
+        for report in message.reports:
+            for server in self.by_service.get(report.service, ()):
+                if (
+                    server.failure_domain == failure_domain
+                    and server.reported_at < oldest
+                ):
+                    server.take_share(report)
+
     def count_near(self):
         """Adapt the interval of pings to the size of our failure domain."""
         near = sum(peer.near for peer in self.peers.values())
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -11,6 +11,7 @@
 from flamingosail.proxy.hop import Hello
 from flamingosail.proxy.hop import Ping
 from flamingosail.proxy.hop import Pong
+from flamingosail.proxy.hop import Status
 from flamingosail.proxy.loadreports import LoadReports
 from flamingosail.proxy.loadreports import merge
 from flamingosail.proxy.overload import Admission
@@ -140,6 +141,20 @@
             message.reports,
         )
 
+    def test_far_servers_that_were_not_asked_are_known_by_the_sum(self):
+        """They looked idle, and a full domain got what ours cannot take."""
+        first = self.join("10.0.0.7", "fd-b")
+        second = self.join("10.0.0.8", "fd-b")
+        for peer, room in ((first, 10), (second, 30)):
+            status = Status("ready", "histbook", "i", room, 0, 0, 0, False, 1)
+            self.answer(peer, status)
+        self.clock.advance(1.5)
+        self.answer(second, Pong(1, 3, 0, 30, 1))
+        report = LoadReport("histbook", 40, 20, {}, {}, {1: 3000, 2: 1000})
+        self.table.take_sum("fd-b", "10.0.0.7:80", DomainLoad(2, [report]))
+        self.assertEqual((10, 5), (first.running, first.waiting))
+        self.assertEqual((3, 0), (second.running, second.waiting))
+
     def test_the_next_node_reports_when_the_speaker_is_silent(self):
         speaker = self.join("10.0.0.4", "fd-a")
         far = self.join("10.0.0.7", "fd-b")
