Learn calls per request and the time of a call apart

After the restart at second 40 costs were first seen while requests failed, and the most urgent route got a share of 0.02 for three seconds. Ruled out: a faster rise of the cost itself, since wasted work then looks like cost. Change: reports count calls; the calls of a request are learnt slowly, requests that were not served counting half, and the time of a call is that of the servers that are there now.

--- a/flamingosail/proxy/loadreports.py
+++ b/flamingosail/proxy/loadreports.py
@@ -77,16 +77,17 @@
         total = sums.get(report.service)
         if total is None:
             total = sums[report.service] = LoadReport(
-                report.service, 0, 0, {}, {}, {}, {}
+                report.service, 0, 0, {}, {}, {}, {}, {}
             )
         total.room += report.room
         # Only what waits at a server that counts says that it is full.
         total.waiting += report.waiting if report.room else 0
         add(total.offered, report.offered)
+        add(total.admitted, report.admitted)
         add(total.completed, report.completed)
-        add(total.growth, report.growth)
         if report.room:
             add(total.usage, report.usage)
+            add(total.calls, report.calls)
     return list(sums.values())
 
 
--- a/flamingosail/proxy/overload.py
+++ b/flamingosail/proxy/overload.py
@@ -28,12 +28,12 @@
 # Rates and usage forget with this time constant; the calls of a request
 # follow it within this time.
 MEMORY_SECONDS = 1.5
-# What a request costs rises only with slower servers; what is seen to rise
+# How many calls a request makes does not depend on load; what is seen to rise
 # fast is wasted work.
-COST_RISE_SECONDS = 6.0
-COST_FALL_SECONDS = 1.5
-# A request that is under way has used this share of its cost, on average.
-UNDER_WAY_SHARE = 0.5
+CALLS_RISE_SECONDS = 6.0
+CALLS_FALL_SECONDS = 1.5
+# A request that was not served, or not yet, has made this share of its calls.
+UNSERVED_SHARE = 0.5
 # Share of the slots that admitted requests may take; the rest takes up the
 # randomness of arrivals.
 TARGET_FILL = 0.92
@@ -51,7 +51,7 @@
 LOWEST_SHARE = 0.02
 # A service is part of a route's cost above this many slot seconds a request.
 NEGLIGIBLE_COST = 0.0005
-# A route needs this many requests a second for its cost to be learnt.
+# A route needs this many requests served a second for its cost to be learnt.
 KNOWN_RATE = 0.5
 KEY_BITS = 0xFFFF
 # Rates travel as tenths, usage as hundredths.
@@ -63,20 +63,21 @@
     """What one node saw lately.
 
     ``offered`` are the requests per second that begin at the node, by the
-    key of their route, in tenths, ``completed`` those of them that a server
-    answered with success; ``usage`` is the number of
-    slots of the node's server that the requests of a route take, in
-    hundredths. ``growth`` is by how many a second the requests that are
-    under way become more, in tenths.
+    key of their route, in tenths, ``admitted`` those of them that were not
+    refused and ``completed`` those that a server answered with success.
+    ``usage`` is the number of slots of the node's server that the requests
+    of a route take through all their calls, in hundredths, and ``calls`` the
+    number of these calls per second, in tenths.
     """
 
     service: str = ""
     room: int = 0
     waiting: int = 0
     offered: dict[int, int] = {}
+    admitted: dict[int, int] = {}
     completed: dict[int, int] = {}
     usage: dict[int, int] = {}
-    growth: dict[int, int] = {}
+    calls: dict[int, int] = {}
 
 
 def route_key(name: str) -> int:
@@ -92,25 +93,25 @@
         self.aged_at = clock.seconds()
         self.started = self.aged_at
         self.offered: dict[int, float] = {}
+        self.admitted: dict[int, float] = {}
         self.completed: dict[int, float] = {}
         self.used: dict[int, float] = {}
-        self.under_way: dict[int, float] = {}
+        self.calls: dict[int, float] = {}
 
     def began(self, key: int, *, admitted: bool):
         """Count a request that begins here, or is refused."""
         self.offered[key] = self.offered.get(key, 0.0) + 1.0
         if admitted:
-            self.under_way[key] = self.under_way.get(key, 0.0) + 1.0
+            self.admitted[key] = self.admitted.get(key, 0.0) + 1.0
 
-    def ended(self, key: int, *, served: bool):
-        """Count the end of a request that was admitted here."""
-        self.under_way[key] = self.under_way.get(key, 0.0) - 1.0
-        if served:
-            self.completed[key] = self.completed.get(key, 0.0) + 1.0
+    def served(self, key: int):
+        """Count a request that began here and was served."""
+        self.completed[key] = self.completed.get(key, 0.0) + 1.0
 
     def used_slot(self, key: int, seconds: float):
         """Count the time that a request took at our server."""
         self.used[key] = self.used.get(key, 0.0) + seconds
+        self.calls[key] = self.calls.get(key, 0.0) + 1.0
 
     def report(self, service: str, room: int, waiting: int) -> LoadReport:
         """Return the rates of the last seconds."""
@@ -124,9 +125,10 @@
         rates = []
         for sums, scale in (
             (self.offered, RATE_SCALE),
+            (self.admitted, RATE_SCALE),
             (self.completed, RATE_SCALE),
             (self.used, USAGE_SCALE),
-            (self.under_way, RATE_SCALE),
+            (self.calls, RATE_SCALE),
         ):
             rate = {}
             for key in list(sums):
@@ -134,7 +136,7 @@
                 number = round(sums[key] * scale / max(window, 0.1))
                 if number:
                     rate[key] = number
-                elif abs(sums[key]) < 0.001:
+                elif sums[key] < 0.001:
                     del sums[key]
             rates.append(rate)
         return LoadReport(service, room, waiting, *rates)
@@ -177,6 +179,7 @@
 
     def __init__(self, *, clock: IReactorTime):
         self.clock = clock
+        self.calls: dict[tuple[int, str], float] = {}
         self.costs: dict[tuple[int, str], float] = {}
         self.services: dict[str, ServiceLoad] = {}
         self.shares: dict[int, float] = {}
@@ -206,18 +209,16 @@
         now = self.clock.seconds()
         elapsed, self.computed_at = now - self.computed_at, now
         offered: dict[int, float] = {}
+        admitted: dict[int, float] = {}
         completed: dict[int, float] = {}
-        growth: dict[int, float] = {}
         usage: dict[tuple[int, str], float] = {}
+        calls: dict[tuple[int, str], float] = {}
         for load in self.services.values():
             load.room = load.waiting = 0
         for report in reports:
-            for key, rate in report.offered.items():
-                offered[key] = offered.get(key, 0.0) + rate / RATE_SCALE
-            for key, rate in report.completed.items():
-                completed[key] = completed.get(key, 0.0) + rate / RATE_SCALE
-            for key, rate in report.growth.items():
-                growth[key] = growth.get(key, 0.0) + rate / RATE_SCALE
+            add(offered, report.offered, 1 / RATE_SCALE)
+            add(admitted, report.admitted, 1 / RATE_SCALE)
+            add(completed, report.completed, 1 / RATE_SCALE)
             if not report.room:
                 continue
             load = self.services.setdefault(report.service, ServiceLoad())
@@ -226,11 +227,15 @@
             for key, used in report.usage.items():
                 pair = (key, report.service)
                 usage[pair] = usage.get(pair, 0.0) + used / USAGE_SCALE
+            for key, count in report.calls.items():
+                pair = (key, report.service)
+                calls[pair] = calls.get(pair, 0.0) + count / RATE_SCALE
         served = {
-            key: rate + max(0.0, growth.get(key, 0.0)) * UNDER_WAY_SHARE
+            key: rate + UNSERVED_SHARE * max(0.0, admitted[key] - rate)
             for key, rate in completed.items()
+            if rate >= KNOWN_RATE and key in admitted
         }
-        self.learn(elapsed, served, usage)
+        self.learn(elapsed, served, usage, calls)
         shares: dict[int, float] = {}
         self.binding = {}
         for service, load in self.services.items():
@@ -239,31 +244,34 @@
                 self.share_out(service, load, offered, priorities, shares)
         self.shares = shares
 
-    def learn(self, elapsed: float, served: dict, usage: dict):
+    def learn(
+        self,
+        elapsed: float,
+        served: dict[int, float],
+        usage: dict[tuple[int, str], float],
+        calls: dict[tuple[int, str], float],
+    ):
         """Move the costs of the routes that are in use to what is seen.
 
-        What is seen is the usage by requests that were served; one that is
-        under way counts as half served, since after a start and in a growing
-        queue calls are seen long before the ends of their requests. Under
-        overload usage holds wasted work as well, and is too high until the
-        shares have ended that. Divided by all that began, it would be too
-        low, since what waits in vain uses nothing, and nothing would ever be
-        refused.
+        The number of calls of a request is learnt slowly, the time of a call
+        is that of the servers which are there now: when a fast one leaves,
+        all costs rise at once. Calls are divided by the requests that were
+        served. Those that were not, or not yet, count in part, since after a
+        start and in a growing queue calls are seen long before the ends of
+        their requests.
         """
-        rising = 1 - exp(-elapsed / COST_RISE_SECONDS)
-        falling = 1 - exp(-elapsed / COST_FALL_SECONDS)
+        rising = 1 - exp(-elapsed / CALLS_RISE_SECONDS)
+        falling = 1 - exp(-elapsed / CALLS_FALL_SECONDS)
         for key, rate in served.items():
-            if rate < KNOWN_RATE:
-                continue
             for service in self.services:
                 pair = (key, service)
-                seen = usage.get(pair, 0.0) / rate
-                known = self.costs.get(pair)
-                if known is None:
-                    self.costs[pair] = seen
-                else:
-                    weight = rising if seen > known else falling
-                    self.costs[pair] = known + weight * (seen - known)
+                seen = calls.get(pair, 0.0) / rate
+                known = self.calls.setdefault(pair, seen)
+                weight = rising if seen > known else falling
+                self.calls[pair] = known + weight * (seen - known)
+                if pair in calls:
+                    time = usage.get(pair, 0.0) / calls[pair]
+                    self.costs[pair] = self.calls[pair] * time
 
     def backlog(
         self,
@@ -310,3 +318,9 @@
                     if share < shares.get(key, 1.0):
                         shares[key] = share
                         self.binding[key] = service
+
+
+def add(totals: dict[int, float], numbers: dict[int, int], scale: float):
+    """Add the scaled numbers to the totals of the same keys."""
+    for key, number in numbers.items():
+        totals[key] = totals.get(key, 0.0) + number * scale
--- a/tests/test_proxy_overload.py
+++ b/tests/test_proxy_overload.py
@@ -7,6 +7,7 @@
 
 from flamingosail.proxy.overload import Admission
 from flamingosail.proxy.overload import LoadMeter
+from flamingosail.proxy.overload import LoadReport
 from flamingosail.proxy.overload import route_key
 
 READ, CHECK = route_key("r-read"), route_key("r-check")
@@ -66,8 +67,7 @@
         self.queue.sort(key=lambda call: call[:2])
         for _ in range(round(self.slots * STEP / 0.02)):
             while self.queue and now - self.queue[0][1] > 0.7:
-                _, _, request = self.queue.pop(0)
-                self.meter.ended(request["key"], served=False)
+                self.queue.pop(0)
             if not self.queue:
                 return
             _, _, request = self.queue.pop(0)
@@ -79,7 +79,7 @@
                 self.queue.append((PRIORITIES[request["key"]], now, request))
             else:
                 self.done[request["key"]] += 1
-                self.meter.ended(request["key"], served=True)
+                self.meter.served(request["key"])
 
 
 class AdmissionTest(TestCase):
@@ -142,13 +142,40 @@
                     admitted = admission.admits(key)
                     meter.began(key, admitted=admitted)
                     if admitted:
-                        meter.ended(key, served=True)
+                        meter.served(key)
                 meter.used_slot(READ, 0.1)
             report = meter.report("deep", 4, 20)
             admission.compute([report], {READ: 2, other: 2})
         self.assertIn(READ, admission.shares)
         self.assertNotIn(other, admission.shares)
 
+    def test_costs_rise_at_once_when_the_fast_server_leaves(self):
+        """It took seconds, in which a queue of several seconds built up."""
+        clock = Clock()
+        admission = Admission(clock=clock)
+
+        def report(usage, **changes):
+            """Return the report of a server that takes 200 calls a second."""
+            return LoadReport(
+                "deep",
+                10,
+                0,
+                usage={READ: usage},
+                calls={READ: 2000},
+                **changes,
+            )
+
+        begun = {READ: 1000}
+        slow = report(600, offered=begun, admitted=begun, completed=begun)
+        for _ in range(20):
+            clock.advance(0.5)
+            admission.compute([report(200), slow], PRIORITIES)
+        self.assertEqual({}, admission.shares)
+        clock.advance(0.5)
+        admission.compute([slow], PRIORITIES)
+        # 100 requests with four calls of 30 ms need 12 slots, 9.2 are left.
+        self.assertLess(admission.shares[READ], 0.95)
+
     def test_all_nodes_compute_the_same_shares(self):
         """Nodes that disagree would refuse different parts of a request."""
         model = DeepServiceModel(slots=10, admission=True)
@@ -175,7 +202,7 @@
                 meter.began(READ, admitted=True)
                 meter.used_slot(READ, 0.08)
                 if step >= 20:
-                    meter.ended(READ, served=True)
+                    meter.served(READ)
             if step % 10 == 9:
                 # 40 requests a second of 80 ms take 3.2 of 5 slots.
                 report = meter.report("deep", 5, 0)
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -47,7 +47,9 @@
         self.clock = MemoryReactorClock()
         self.clock.advance(10.0)
         gate = make_gate(self.clock)
-        self.report = LoadReport("histbook", 10, 2, {1: 30}, {1: 20}, {1: 50})
+        self.report = LoadReport(
+            "histbook", 10, 2, {1: 30}, {1: 25}, {1: 20}, {1: 50}, {1: 9}
+        )
         self.table = PeerTable(
             reactor=self.clock,
             gate=gate,
@@ -137,7 +139,18 @@
         (message,) = self.sent(far, DomainLoad)
         self.assertEqual(2, message.nodes)
         self.assertEqual(
-            [LoadReport("histbook", 20, 4, {1: 60}, {1: 40}, {1: 100})],
+            [
+                LoadReport(
+                    "histbook",
+                    20,
+                    4,
+                    {1: 60},
+                    {1: 50},
+                    {1: 40},
+                    {1: 100},
+                    {1: 18},
+                )
+            ],
             message.reports,
         )
 
@@ -150,7 +163,7 @@
             self.answer(peer, status)
         self.clock.advance(1.5)
         self.answer(second, Pong(1, 3, 0, 30, 1))
-        report = LoadReport("histbook", 40, 20, {}, {}, {1: 3000, 2: 1000})
+        report = LoadReport("histbook", 40, 20, usage={1: 3000, 2: 1000})
         self.table.take_sum("fd-b", "10.0.0.7:80", DomainLoad(2, [report]))
         self.assertEqual((10, 5), (first.running, first.waiting))
         self.assertEqual((3, 0), (second.running, second.waiting))
@@ -173,14 +186,21 @@
         super().setUp()
         self.clock = Clock()
         self.reports = LoadReports(clock=self.clock)
-        self.own = LoadReport("deep", 4, 0, {1: 10}, {}, {})
+        self.own = LoadReport("deep", 4, 0, {1: 10})
+
+    def single(self, service, room, waiting, offered, completed, usage):
+        """Return a report with one call for each 20 ms of usage."""
+        calls = {key: number * 5 for key, number in usage.items()}
+        return LoadReport(
+            service, room, waiting, offered, offered, completed, usage, calls
+        )
 
     def test_sums_lead_to_the_same_shares_as_their_reports(self):
         singles = [
-            LoadReport("deep", 10, 3, {1: 400}, {1: 200}, {1: 900, 2: 50}),
-            LoadReport("deep", 0, 9, {1: 100}, {1: 50}, {1: 700}),
-            LoadReport("deep", 10, 8, {1: 500}, {1: 200}, {1: 950, 2: 40}),
-            LoadReport("front", 50, 0, {2: 300}, {2: 250}, {1: 200}),
+            self.single("deep", 10, 3, {1: 400}, {1: 200}, {1: 900, 2: 50}),
+            self.single("deep", 0, 9, {1: 100}, {1: 50}, {1: 700}),
+            self.single("deep", 10, 8, {1: 500}, {1: 200}, {1: 950, 2: 40}),
+            self.single("front", 50, 0, {2: 300}, {2: 250}, {1: 200}),
         ]
         shares = []
         for reports in (singles, merge(singles)):
@@ -192,8 +212,8 @@
 
     def test_the_sum_over_more_nodes_counts(self):
         """A node that is cut off takes itself for the speaker."""
-        whole = LoadReport("deep", 40, 0, {}, {}, {})
-        part = LoadReport("deep", 4, 0, {}, {}, {})
+        whole = LoadReport("deep", 40, 0)
+        part = LoadReport("deep", 4, 0)
         self.reports.take_sum("fd-b", "10.0.0.1:80", 10, [whole])
         self.reports.take_sum("fd-b", "10.0.0.9:80", 1, [part])
         self.assertEqual([self.own, whole], self.reports.all(self.own))
