--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -39,10 +39,10 @@
 # Bytes between failure domains are dear, and near servers are used first.
 NEAR_PING_SECONDS = 0.5
 FAR_PING_SECONDS = 1.0
-# With more near peers than this the pings to them are spread over up to
-# FAR_PING_SECONDS.
+# The intervals hold for so many near and so many far peers. With more, near
+# ones are pinged up to FAR_PING_SECONDS apart, and far ones up to
+# IDLE_PING_SECONDS apart unless they were called lately.
 FEW_PEERS = 16
-# A far peer without calls for a while is only kept from being forgotten.
 IDLE_PING_SECONDS = 4.0
 IDLE_AFTER_SECONDS = 2.0
 # A connection whose ping has no answer for this share of the interval gets
@@ -148,7 +148,7 @@
         self.node = hello.node
         self.failure_domain = hello.failure_domain
         self.near = hello.failure_domain == self.table.local.failure_domain
-        self.table.count_near()
+        self.table.set_intervals()
 
     def take_status(self, status: Status):
         """Note the state of the server."""
@@ -177,7 +177,7 @@
         """Seconds between pings."""
         if self.near or now - self.used_at < IDLE_AFTER_SECONDS:
             return self.busy_ping_seconds
-        return IDLE_PING_SECONDS
+        return self.table.idle_ping_seconds
 
     @property
     def usable(self) -> bool:
@@ -263,6 +263,7 @@
         self.own_report = LoadReport()
         self.reports = LoadReports(clock=reactor)
         self.near_ping_seconds = NEAR_PING_SECONDS
+        self.idle_ping_seconds = FAR_PING_SECONDS
         self.spoke_at = 0.0
         self.loop = LoopingCall(self.tick)
         self.loop.clock = reactor
@@ -314,13 +315,13 @@
     def take_sum(self, failure_domain: str, sender: str, message: DomainLoad):
         """Take in the load of another failure domain.
 
-        Of far servers that were not asked lately it is the latest news; with
+        Of far servers that did not report lately it is the latest news; with
         older ones, a domain that is full would get what ours cannot take.
         """
         self.reports.take_sum(
             failure_domain, sender, message.nodes, message.reports
         )
-        oldest = self.clock.seconds() - REPORT_SECONDS
+        oldest = self.clock.seconds() - 1.2 * FAR_PING_SECONDS
         for report in message.reports:
             for server in self.by_service.get(report.service, ()):
                 if (
@@ -329,12 +330,16 @@
                 ):
                     server.take_share(report)
 
-    def count_near(self):
-        """Adapt the interval of pings to the size of our failure domain."""
+    def set_intervals(self):
+        """Adapt the intervals of pings to the number of peers."""
         near = sum(peer.near for peer in self.peers.values())
+        far = len(self.peers) - near
         self.near_ping_seconds = min(
             FAR_PING_SECONDS, NEAR_PING_SECONDS * max(1.0, near / FEW_PEERS)
         )
+        self.idle_ping_seconds = min(
+            IDLE_PING_SECONDS, FAR_PING_SECONDS * max(1.0, far / FEW_PEERS)
+        )
 
     def add(self, address: Address):
         """Learn of a node; a known one that returned is dialled at once."""
