Keep the admission of urgent routes apart from the queue of others

Change: a queue reduces what the least urgent routes get; services without servers teach nothing; a new service is learnt fast in its first seconds; requests that failed count nothing; a queue that does not shrink lowers the target faster.

--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -213,7 +213,7 @@
         self.decisions.failure(
             "client left", lambda: self.story(work, "the client closed")
         )
-        self.close(work)
+        self.close(work, served=False)
         self.cancel_attempt(work)
 
     # Servers.
@@ -389,14 +389,12 @@
 
     def finish(self, work: Forwarding, status: int, head: bytes, body: bytes):
         """Answer the client and forget the request."""
-        self.close(work)
+        self.close(work, served=status < 500)
         if work.parent is not None:
             if status >= 500:
                 work.parent.call_failed = True
             else:
                 work.parent.calls_served += 1
-        elif status < 500:
-            self.meter.served(work.origin)
         self.metrics.observe_request(
             f"{status // 100}xx",
             self.clock.seconds() - work.exchange.arrived,
@@ -406,11 +404,13 @@
         )
         work.exchange.answer(status, head, body)
 
-    def close(self, work: Forwarding):
+    def close(self, work: Forwarding, *, served: bool):
         """Count the end of a request."""
         if not work.over:
             work.over = True
             self.in_flight -= 1
+            if work.begins:
+                self.meter.ended(work.origin, served=served)
 
     def story(self, work: Forwarding, reason: str) -> dict:
         """Return the fields of a log line on a request."""
--- a/flamingosail/proxy/loadreports.py
+++ b/flamingosail/proxy/loadreports.py
@@ -83,7 +83,7 @@
         # Only what waits at a server that counts says that it is full.
         total.waiting += report.waiting if report.room else 0
         add(total.offered, report.offered)
-        add(total.admitted, report.admitted)
+        add(total.growth, report.growth)
         add(total.completed, report.completed)
         if report.room:
             add(total.usage, report.usage)
--- a/flamingosail/proxy/overload.py
+++ b/flamingosail/proxy/overload.py
@@ -32,21 +32,24 @@
 # fast is wasted work.
 CALLS_RISE_SECONDS = 6.0
 CALLS_FALL_SECONDS = 1.5
-# A request that was not served, or not yet, has made this share of its calls.
-UNSERVED_SHARE = 0.5
+# In the first time of a service nothing is known that could be kept.
+SETTLE_SECONDS = 4.0
+# A request that is under way has made this share of its calls, on average.
+UNDER_WAY_SHARE = 0.5
 # Share of the slots that admitted requests may take; the rest takes up the
 # randomness of arrivals.
 TARGET_FILL = 0.92
-LOWEST_FILL = 0.6
+LOWEST_FILL = 0.4
 # Per computation, while more requests wait at the gates of a service than
 # this share of its slots, and while fewer do.
 LONG_QUEUE = 1.0
-FILL_DECREASE = 0.95
+FILL_DECREASE = 0.9
 FILL_INCREASE = 0.08
 # A queue that is longer than this share of the slots is to be gone within
 # this time; new requests get what that leaves.
 SHORT_QUEUE = 0.25
 DRAIN_SECONDS = 1.0
+BACKLOG_SHARE = 0.6
 # A little of each route always passes, so that costs stay known.
 LOWEST_SHARE = 0.02
 # A service is part of a route's cost above this many slot seconds a request.
@@ -63,8 +66,9 @@
     """What one node saw lately.
 
     ``offered`` are the requests per second that begin at the node, by the
-    key of their route, in tenths, ``admitted`` those of them that were not
-    refused and ``completed`` those that a server answered with success.
+    key of their route, in tenths, ``completed`` those of them that a server
+    answered with success, and ``growth`` is by how many a second those that
+    are under way become more.
     ``usage`` is the number of slots of the node's server that the requests
     of a route take through all their calls, in hundredths, and ``calls`` the
     number of these calls per second, in tenths.
@@ -74,7 +78,7 @@
     room: int = 0
     waiting: int = 0
     offered: dict[int, int] = {}
-    admitted: dict[int, int] = {}
+    growth: dict[int, int] = {}
     completed: dict[int, int] = {}
     usage: dict[int, int] = {}
     calls: dict[int, int] = {}
@@ -93,7 +97,7 @@
         self.aged_at = clock.seconds()
         self.started = self.aged_at
         self.offered: dict[int, float] = {}
-        self.admitted: dict[int, float] = {}
+        self.growth: dict[int, float] = {}
         self.completed: dict[int, float] = {}
         self.used: dict[int, float] = {}
         self.calls: dict[int, float] = {}
@@ -102,11 +106,13 @@
         """Count a request that begins here, or is refused."""
         self.offered[key] = self.offered.get(key, 0.0) + 1.0
         if admitted:
-            self.admitted[key] = self.admitted.get(key, 0.0) + 1.0
+            self.growth[key] = self.growth.get(key, 0.0) + 1.0
 
-    def served(self, key: int):
-        """Count a request that began here and was served."""
-        self.completed[key] = self.completed.get(key, 0.0) + 1.0
+    def ended(self, key: int, *, served: bool):
+        """Count the end of a request that was admitted here."""
+        self.growth[key] = self.growth.get(key, 0.0) - 1.0
+        if served:
+            self.completed[key] = self.completed.get(key, 0.0) + 1.0
 
     def used_slot(self, key: int, seconds: float):
         """Count the time that a request took at our server."""
@@ -125,7 +131,7 @@
         rates = []
         for sums, scale in (
             (self.offered, RATE_SCALE),
-            (self.admitted, RATE_SCALE),
+            (self.growth, RATE_SCALE),
             (self.completed, RATE_SCALE),
             (self.used, USAGE_SCALE),
             (self.calls, RATE_SCALE),
@@ -136,7 +142,7 @@
                 number = round(sums[key] * scale / max(window, 0.1))
                 if number:
                     rate[key] = number
-                elif sums[key] < 0.001:
+                elif abs(sums[key]) < 0.001:
                     del sums[key]
             rates.append(rate)
         return LoadReport(service, room, waiting, *rates)
@@ -180,6 +186,7 @@
     def __init__(self, *, clock: IReactorTime):
         self.clock = clock
         self.calls: dict[tuple[int, str], float] = {}
+        self.first_seen: dict[tuple[int, str], float] = {}
         self.costs: dict[tuple[int, str], float] = {}
         self.services: dict[str, ServiceLoad] = {}
         self.shares: dict[int, float] = {}
@@ -209,7 +216,7 @@
         now = self.clock.seconds()
         elapsed, self.computed_at = now - self.computed_at, now
         offered: dict[int, float] = {}
-        admitted: dict[int, float] = {}
+        growth: dict[int, float] = {}
         completed: dict[int, float] = {}
         usage: dict[tuple[int, str], float] = {}
         calls: dict[tuple[int, str], float] = {}
@@ -217,7 +224,7 @@
             load.room = load.waiting = 0
         for report in reports:
             add(offered, report.offered, 1 / RATE_SCALE)
-            add(admitted, report.admitted, 1 / RATE_SCALE)
+            add(growth, report.growth, 1 / RATE_SCALE)
             add(completed, report.completed, 1 / RATE_SCALE)
             if not report.room:
                 continue
@@ -231,9 +238,9 @@
                 pair = (key, report.service)
                 calls[pair] = calls.get(pair, 0.0) + count / RATE_SCALE
         served = {
-            key: rate + UNSERVED_SHARE * max(0.0, admitted[key] - rate)
+            key: rate + UNDER_WAY_SHARE * max(0.0, growth.get(key, 0.0))
             for key, rate in completed.items()
-            if rate >= KNOWN_RATE and key in admitted
+            if rate >= KNOWN_RATE
         }
         self.learn(elapsed, served, usage, calls)
         shares: dict[int, float] = {}
@@ -256,41 +263,43 @@
         The number of calls of a request is learnt slowly, the time of a call
         is that of the servers which are there now: when a fast one leaves,
         all costs rise at once. Calls are divided by the requests that were
-        served. Those that were not, or not yet, count in part, since after a
-        start and in a growing queue calls are seen long before the ends of
-        their requests.
+        served, so that requests of which most fail look dear and fewer of
+        them begin. Those under way count in part, since after a start and in
+        a growing queue calls are seen long before the ends of their requests.
         """
         rising = 1 - exp(-elapsed / CALLS_RISE_SECONDS)
         falling = 1 - exp(-elapsed / CALLS_FALL_SECONDS)
+        now = self.clock.seconds()
         for key, rate in served.items():
-            for service in self.services:
+            for service, load in self.services.items():
+                if not load.room:
+                    # Calls that reach no server would look like no calls.
+                    continue
                 pair = (key, service)
                 seen = calls.get(pair, 0.0) / rate
                 known = self.calls.setdefault(pair, seen)
-                weight = rising if seen > known else falling
+                settled = now - self.first_seen.setdefault(pair, now)
+                weight = falling
+                if seen > known and settled > SETTLE_SECONDS:
+                    weight = rising
                 self.calls[pair] = known + weight * (seen - known)
                 if pair in calls:
                     time = usage.get(pair, 0.0) / calls[pair]
                     self.costs[pair] = self.calls[pair] * time
 
     def backlog(
-        self,
-        load: ServiceLoad,
-        demands: dict[int, list[tuple[int, float]]],
-        offered: dict[int, float],
+        self, service: str, load: ServiceLoad, least_urgent: list[int]
     ) -> float:
         """Return the slots that a queue needs to be gone soon.
 
-        Each call that waits belongs to a request that has half of its calls
-        before it, on average.
+        What waits belongs to the least urgent routes, and is one of the
+        calls of its request, on average with half of them before it.
         """
-        pairs = [pair for pairs in demands.values() for pair in pairs]
-        rate = sum(offered[key] for key, _ in pairs)
         waiting = load.waiting - SHORT_QUEUE * load.room
-        if waiting <= 0 or not rate:
+        if waiting <= 0:
             return 0.0
-        mean_cost = sum(need for _, need in pairs) / rate
-        return waiting * mean_cost / 2 / DRAIN_SECONDS
+        cost = max(self.costs[(key, service)] for key in least_urgent)
+        return waiting * cost * BACKLOG_SHARE / DRAIN_SECONDS
 
     def share_out(
         self,
@@ -308,9 +317,17 @@
                 demands.setdefault(priorities[key], []).append(
                     (key, rate * cost)
                 )
-        left = load.room * load.fill - self.backlog(load, demands, offered)
+        if not demands:
+            return
+        last = max(demands)
+        backlog = self.backlog(
+            service, load, [key for key, _ in demands[last]]
+        )
+        left = load.room * load.fill
         for priority in sorted(demands):
             demand = sum(need for _, need in demands[priority])
+            if priority == last:
+                left -= backlog
             share = max(LOWEST_SHARE, min(1.0, left / demand))
             left = max(0.0, left - demand)
             if share < 1.0:
--- a/tests/test_proxy_overload.py
+++ b/tests/test_proxy_overload.py
@@ -67,7 +67,8 @@
         self.queue.sort(key=lambda call: call[:2])
         for _ in range(round(self.slots * STEP / 0.02)):
             while self.queue and now - self.queue[0][1] > 0.7:
-                self.queue.pop(0)
+                _, _, request = self.queue.pop(0)
+                self.meter.ended(request["key"], served=False)
             if not self.queue:
                 return
             _, _, request = self.queue.pop(0)
@@ -79,7 +80,7 @@
                 self.queue.append((PRIORITIES[request["key"]], now, request))
             else:
                 self.done[request["key"]] += 1
-                self.meter.served(request["key"])
+                self.meter.ended(request["key"], served=True)
 
 
 class AdmissionTest(TestCase):
@@ -142,7 +143,7 @@
                     admitted = admission.admits(key)
                     meter.began(key, admitted=admitted)
                     if admitted:
-                        meter.served(key)
+                        meter.ended(key, served=True)
                 meter.used_slot(READ, 0.1)
             report = meter.report("deep", 4, 20)
             admission.compute([report], {READ: 2, other: 2})
@@ -166,7 +167,7 @@
             )
 
         begun = {READ: 1000}
-        slow = report(600, offered=begun, admitted=begun, completed=begun)
+        slow = report(600, offered=begun, completed=begun)
         for _ in range(20):
             clock.advance(0.5)
             admission.compute([report(200), slow], PRIORITIES)
@@ -176,6 +177,47 @@
         # 100 requests with four calls of 30 ms need 12 slots, 9.2 are left.
         self.assertLess(admission.shares[READ], 0.95)
 
+    def test_a_queue_of_the_least_urgent_takes_nothing_from_others(self):
+        """After a restart the most urgent route got a share of 0.02."""
+        clock = Clock()
+        admission = Admission(clock=clock)
+        rates = {READ: 1000, CHECK: 1000}
+        full = LoadReport(
+            "deep",
+            10,
+            400,
+            offered=rates,
+            completed=rates,
+            usage={READ: 600, CHECK: 300},
+            calls={READ: 3000, CHECK: 1000},
+        )
+        for _ in range(4):
+            clock.advance(0.5)
+            admission.compute([full], PRIORITIES)
+        self.assertNotIn(CHECK, admission.shares)
+        self.assertLess(admission.shares[READ], 0.1)
+
+    def test_calls_are_not_forgotten_while_no_server_is_there(self):
+        clock = Clock()
+        admission = Admission(clock=clock)
+        rates = {READ: 1000}
+        usual = LoadReport(
+            "deep",
+            10,
+            0,
+            offered=rates,
+            completed=rates,
+            usage={READ: 800},
+            calls={READ: 4000},
+        )
+        clock.advance(0.5)
+        admission.compute([usual], PRIORITIES)
+        gone = LoadReport("deep", 0, 0, offered=rates, completed=rates)
+        for _ in range(20):
+            clock.advance(0.5)
+            admission.compute([gone], PRIORITIES)
+        self.assertAlmostEqual(4.0, admission.calls[(READ, "deep")])
+
     def test_all_nodes_compute_the_same_shares(self):
         """Nodes that disagree would refuse different parts of a request."""
         model = DeepServiceModel(slots=10, admission=True)
@@ -202,7 +244,7 @@
                 meter.began(READ, admitted=True)
                 meter.used_slot(READ, 0.08)
                 if step >= 20:
-                    meter.served(READ)
+                    meter.ended(READ, served=True)
             if step % 10 == 9:
                 # 40 requests a second of 80 ms take 3.2 of 5 slots.
                 report = meter.report("deep", 5, 0)
