Forget the cost of a route at a service that it no longer calls

Cause: since costs are calls times the time of a call, a cost was set only while calls were seen, and stayed after a route had moved to another service. Test: test_a_route_that_moved_costs_nothing_at_its_former_service, which failed first.

--- a/flamingosail/proxy/overload.py
+++ b/flamingosail/proxy/overload.py
@@ -46,7 +46,8 @@
 FILL_DECREASE = 0.9
 FILL_INCREASE = 0.08
 # A queue that is longer than this share of the slots is to be gone within
-# this time; new requests get what that leaves.
+# this time; new requests get what that leaves. A request whose call waits has
+# this share of its cost before it.
 SHORT_QUEUE = 0.25
 DRAIN_SECONDS = 1.0
 BACKLOG_SHARE = 0.6
@@ -180,13 +181,17 @@
     """Decides which requests may begin.
 
     ``shares`` holds the share of each route's requests that is admitted;
-    routes that are not in it are admitted whole.
+    routes that are not in it are admitted whole. ``binding`` names the
+    service whose capacity limits a share. By route and service, ``calls`` is
+    the number of calls of a request, ``times`` the seconds of a call and
+    ``costs`` their product, in slot seconds.
     """
 
     def __init__(self, *, clock: IReactorTime):
         self.clock = clock
         self.calls: dict[tuple[int, str], float] = {}
         self.first_seen: dict[tuple[int, str], float] = {}
+        self.times: dict[tuple[int, str], float] = {}
         self.costs: dict[tuple[int, str], float] = {}
         self.services: dict[str, ServiceLoad] = {}
         self.shares: dict[int, float] = {}
@@ -284,8 +289,8 @@
                     weight = rising
                 self.calls[pair] = known + weight * (seen - known)
                 if pair in calls:
-                    time = usage.get(pair, 0.0) / calls[pair]
-                    self.costs[pair] = self.calls[pair] * time
+                    self.times[pair] = usage.get(pair, 0.0) / calls[pair]
+                self.costs[pair] = self.calls[pair] * self.times.get(pair, 0.0)
 
     def backlog(
         self, service: str, load: ServiceLoad, least_urgent: list[int]
--- a/tests/test_proxy_overload.py
+++ b/tests/test_proxy_overload.py
@@ -218,6 +218,30 @@
             admission.compute([gone], PRIORITIES)
         self.assertAlmostEqual(4.0, admission.calls[(READ, "deep")])
 
+    def test_a_route_that_moved_costs_nothing_at_its_former_service(self):
+        """With costs that stay, it would be refused for no reason."""
+        clock = Clock()
+        admission = Admission(clock=clock)
+        rates = {READ: 1000}
+        calling = LoadReport(
+            "deep",
+            2,
+            0,
+            offered=rates,
+            completed=rates,
+            usage={READ: 400},
+            calls={READ: 2000},
+        )
+        for _ in range(4):
+            clock.advance(0.5)
+            admission.compute([calling], PRIORITIES)
+        self.assertIn(READ, admission.shares)
+        moved = LoadReport("deep", 2, 0, offered=rates, completed=rates)
+        for _ in range(20):
+            clock.advance(0.5)
+            admission.compute([moved], PRIORITIES)
+        self.assertEqual({}, admission.shares)
+
     def test_all_nodes_compute_the_same_shares(self):
         """Nodes that disagree would refuse different parts of a request."""
         model = DeepServiceModel(slots=10, admission=True)
