Go on pinging after an error in a tick

A LoopingCall ends with the first error, silently; without pings a node loses all its peers. The error is logged with its traceback and the loop starts again. Test: test_an_error_in_one_tick_does_not_end_the_pings.

--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -274,7 +274,12 @@
 
     def start(self):
         """Dial and ping from now on."""
-        self.loop.start(TICK_SECONDS, now=True)
+        self.loop.start(TICK_SECONDS, now=True).addErrback(self.tick_failed)
+
+    def tick_failed(self, failure):
+        """Go on: a node that pings no more would lose all its peers."""
+        log.error("tick failed", extra={"cause": failure.getTraceback()})
+        self.clock.callLater(TICK_SECONDS, self.start)
 
     def stop(self):
         """Stop pinging."""
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -141,6 +141,16 @@
         self.run_for(2.0)
         self.assertTrue(self.transports[near].aborted)
 
+    def test_an_error_in_one_tick_does_not_end_the_pings(self):
+        near = self.join("10.0.0.6", "fd-a")
+        self.table.on_reports = lambda reports: 1 / 0
+        self.table.start()
+        self.sent(near, Ping)
+        self.table.on_reports = lambda reports: None
+        self.clock.pump([TICK_SECONDS] * 4)
+        self.assertNotEqual([], self.sent(near, Ping))
+        self.table.stop()
+
     def test_pings_of_a_large_domain_are_spread(self):
         peers = [self.join(f"10.0.1.{n}", "fd-a") for n in range(40)]
         pings = self.run_for(10.0, *peers)
