--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -300,7 +300,7 @@
             if self.may_send_again(work):
                 self.offer(work, reason)
             else:
-                self.give_up(work, reason)
+                self.give_up(work, f"{reason}; it may not be sent again")
         else:
             work.runs += 1
             if self.may_repeat(work):
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -151,6 +151,7 @@
             ),
             config_version=self.config_version,
             server_connects=lambda: self.gate.pool.connects,
+            second_sends_refused=lambda: self.forwarder.budget.refused,
         )
 
     # Messages about this node.
