Count failed dials apart from failed calls of a peer

Both were one attribute: a peer that had been out of reach got the costs of a failing server, and calls moved the pause between dials. Removed peers also change the intervals of pings.

--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -45,6 +45,8 @@
 FEW_PEERS = 16
 IDLE_PING_SECONDS = 4.0
 IDLE_AFTER_SECONDS = 2.0
+# The load of a far server that is pinged each second is never older.
+FRESH_SECONDS = 1.2
 # A connection whose ping has no answer for this share of the interval gets
 # no new calls.
 SUSPECT_SHARE = 0.8
@@ -85,7 +87,7 @@
         self.connection: CallingConnection | None = None
         self.streams = count(1)
         self.dialling = False
-        self.failures = 0
+        self.failed_dials = 0
         self.next_dial = 0.0
         self.node = ""
         self.near = False
@@ -121,16 +123,17 @@
     def dial_failed(self):
         """Wait before the next attempt."""
         self.dialling = False
-        self.failures += 1
+        self.failed_dials += 1
         wait = min(
-            MAX_REDIAL_SECONDS, REDIAL_SECONDS * max(1, self.failures // 8)
+            MAX_REDIAL_SECONDS, REDIAL_SECONDS * max(1, self.failed_dials // 8)
         )
         self.next_dial = self.table.clock.seconds() + wait
 
     def connected(self, connection: CallingConnection):
         """Use a new connection."""
         self.dialling = False
-        self.failures = 0
+        self.failed_dials = 0
+        self.failures = 0.0
         self.connection = connection
         log.info("peer reached", extra={"peer": str(self.address)})
 
@@ -326,7 +329,7 @@
         self.reports.take_sum(
             failure_domain, sender, message.nodes, message.reports
         )
-        oldest = self.clock.seconds() - 1.2 * FAR_PING_SECONDS
+        oldest = self.clock.seconds() - FRESH_SECONDS
         for report in message.reports:
             for server in self.by_service.get(report.service, ()):
                 if (
@@ -355,7 +358,7 @@
             peer = self.peers[address] = Peer(table=self, address=address)
             log.info("peer added", extra={"peer": str(address)})
         if peer.connection is None:
-            peer.failures = 0
+            peer.failed_dials = 0
             peer.next_dial = 0.0
             peer.dial(self.clock.seconds())
 
@@ -364,6 +367,7 @@
         peer = self.peers.get(address)
         if peer is not None and peer.connection is None:
             del self.peers[address]
+            self.set_intervals()
             self.changed(peer)
 
     def introduced(self, hello: Hello):
