Answer callers that are delayed between connecting and sending in a stop

Ruled out: connections left in the socket's backlog, which the stop accepts before it closes the socket. Change: connections on which no request has arrived stay open for 0.8 s; used ones are closed after 0.2 s as before. The new test fails before the change and passes after it. Tried first and taken back: the whole grace period of 1 s with a longer flush, which moved the bound of a stop that test_lifecycle.py states.

--- a/flamingosail/callerhttp.py
+++ b/flamingosail/callerhttp.py
@@ -37,8 +37,12 @@
 ]
 
 DRAIN_GRACE_SECONDS = 1.0
-# A caller that has just connected gets this long to send its request.
+# In the last phase of a stop, idle connections are closed after the first of
+# these times, those without any request so far after the second: a caller that
+# connected in time and was then delayed gets an answer. Both are shorter than
+# the time that the stop leaves for the last responses.
 LAST_REQUEST_SECONDS = 0.2
+FIRST_REQUEST_SECONDS = 0.8
 RETRY_AFTER_SECONDS = 1
 MAX_BACKEND_KEY_CHARS = 128
 MAX_TIMEOUT_DIGITS = 9
@@ -90,7 +94,8 @@
     """Base of the listeners: a twisted factory of server connections.
 
     ``grace`` is in seconds; ``draining`` is set by ``drain``. ``pending`` has
-    the Deferred of the request in progress on each connection.
+    the Deferred of the request in progress on each connection, ``unused`` the
+    connections on which no request has arrived yet.
     ``on_finished`` is called with the duration of each request in seconds.
     """
 
@@ -108,6 +113,7 @@
         self.grace = grace
         self.draining = False
         self.connections: set[HttpServerProtocol] = set()
+        self.unused: set[HttpServerProtocol] = set()
         self.pending: dict[HttpServerProtocol, Deferred] = {}
         self.on_finished: Callable[[float], None] = lambda seconds: None
         self.answered = 0
@@ -140,20 +146,23 @@
         """Close the last connections; the Deferred fires after that.
 
         A request that arrives during the call still gets a refusal.
-        Connections without a request after LAST_REQUEST_SECONDS are closed.
+        Connections without a request are closed after LAST_REQUEST_SECONDS,
+        those that never had one after FIRST_REQUEST_SECONDS.
         """
-        deadline = self.clock.seconds() + LAST_REQUEST_SECONDS
+        started_at = self.clock.seconds()
 
         def check():
-            if not self.connections or self.clock.seconds() >= deadline:
+            elapsed = self.clock.seconds() - started_at
+            if elapsed >= LAST_REQUEST_SECONDS:
+                self.close_idle(self.connections - self.unused)
+            if elapsed >= FIRST_REQUEST_SECONDS:
+                self.close_idle(tuple(self.connections))
+            if not self.connections or elapsed >= FIRST_REQUEST_SECONDS:
                 poll.stop()
 
         poll = LoopingCall(check)
         poll.clock = self.clock
-        done = poll.start(LAST_REQUEST_SECONDS / 10)
-        return done.addCallback(
-            lambda _: self.close_idle(tuple(self.connections))
-        )
+        return poll.start(LAST_REQUEST_SECONDS / 10)
 
     def close_if_idle(self, connection: HttpServerProtocol):
         """Close a connection on which no request is in progress."""
@@ -177,18 +186,21 @@
     def connected(self, connection: HttpServerProtocol):
         """Register a connection."""
         self.connections.add(connection)
+        self.unused.add(connection)
         if self.draining:
             self.clock.callLater(self.grace, self.close_if_idle, connection)
 
     def disconnected(self, connection: HttpServerProtocol):
         """Remove a connection and cancel its request in progress."""
         self.connections.discard(connection)
+        self.unused.discard(connection)
         deferred = self.pending.pop(connection, None)
         if deferred is not None:
             deferred.cancel()
 
     def handle(self, connection, method, target, headers, body):
         """Submit a request, unless its target is reserved or invalid."""
+        self.unused.discard(connection)
         if target.startswith(RESERVED_TARGET):
             self.handle_reserved(connection, method, target)
             return
@@ -212,6 +224,7 @@
 
     def reject(self, connection, code: RefusalCode, detail: str):
         """Refuse a request that was not submitted."""
+        self.unused.discard(connection)
         self.send_answer(connection, refuse(code, Verdict.NOT_RUN, detail))
 
     # Processing of a request.
--- a/tests/test_callerhttp.py
+++ b/tests/test_callerhttp.py
@@ -279,6 +279,38 @@
         self.clock.advance(DRAIN_GRACE_SECONDS)
         self.assertTrue(self.transport.disconnecting)
 
+    def test_a_caller_delayed_after_connecting_is_answered(self):
+        """The last phase of a stop closed such connections after 0.2 s."""
+        self.connection.connectionLost()
+        self.listener.drain()
+        self.connect()
+        closed = []
+        self.listener.close_all().addCallback(closed.append)
+        self.clock.pump([0.02] * 20)
+        self.assertFalse(self.transport.disconnecting)
+        self.send_request(b"Flamingosail-Kind: a")
+        self.fire(refuse(RefusalCode.SHUTTING_DOWN, Verdict.NOT_RUN, ""))
+        self.assertEqual(503, self.pop_response()[0])
+        self.connection.connectionLost()
+        self.clock.advance(0.02)
+        self.assertEqual(1, len(closed))
+
+    def test_a_stop_closes_a_connection_that_stays_without_request(self):
+        self.listener.draining = True
+        closed = []
+        self.listener.close_all().addCallback(closed.append)
+        self.clock.pump([0.02] * 51)
+        self.assertTrue(self.transport.disconnecting)
+        self.assertEqual(1, len(closed))
+
+    def test_a_stop_closes_a_used_idle_connection_first(self):
+        self.send_request(b"Flamingosail-Kind: a")
+        self.fire(OK)
+        self.listener.draining = True
+        self.listener.close_all()
+        self.clock.pump([0.02] * 11)
+        self.assertTrue(self.transport.disconnecting)
+
 
 class BackendListenerTest(ListenerCase):
     """Guards against child calls that lose their parent request."""
