Release the data of ended requests at once

Cause: an ended request stayed in memory twice. Change: bodies, header lines and back references are dropped when a request ends. The test counts unreachable objects; it fails without the change.

--- a/flamingosail/proxy/backendserver.py
+++ b/flamingosail/proxy/backendserver.py
@@ -90,11 +90,13 @@
         if not self.done:
             self.done = True
             self.connection = None
-            self.on_end(self, response, reason)
+            on_end, self.on_end = self.on_end, None
+            on_end(self, response, reason)
 
     def abandon(self):
         """Drop the request and close its connection; the server stops it."""
         self.done = True
+        self.on_end = None
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.request = None
@@ -275,12 +277,13 @@
         self.request = request
         request.connection = self
         request.written = True
-        write_now(self.transport, request.data)
+        data, request.data = request.data, b""
+        write_now(self.transport, data)
 
     def deliver(self):
         """Finish the request; release the connection if it is reusable."""
         request, self.request = self.request, None
-        chunks = self.chunks
+        chunks, self.chunks = self.chunks, []
         response = ServerResponse(
             status=self.status,
             head=b"".join(self.head),
--- a/flamingosail/proxy/client.py
+++ b/flamingosail/proxy/client.py
@@ -122,6 +122,7 @@
             if not exchange.done:
                 exchange.done = True
                 self.handler.client_disconnected(exchange)
+                exchange.release()
 
     # Called by the parser.
 
@@ -254,6 +255,7 @@
         while pending and pending[0].output is not None:
             exchange = pending.popleft()
             head, body = exchange.output
+            exchange.output = None
             parts.append(head)
             # Clients consider requests after a response with "Connection:
             # close" unprocessed, so the connection is closed only when none
--- a/flamingosail/proxy/exchange.py
+++ b/flamingosail/proxy/exchange.py
@@ -77,4 +77,14 @@
         else:
             length = b"Content-Length: %d\r\n" % len(body)
         self.output = (status_line(status) + response_head + length, body)
+        self.release()
         self.connection.flush()
+
+    def release(self):
+        """Drop what only an unanswered request needs.
+
+        Timers keep ended requests until their deadline.
+        """
+        self.request = None
+        self.body = b""
+        self.head = []
--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -403,8 +403,9 @@
             "gave up", lambda: self.request_fields(request, reason)
         )
         remaining = request.deadline - self.clock.seconds()
-        if request.failure_response is not None:
-            self.respond(request, *request.failure_response)
+        response, request.failure_response = request.failure_response, None
+        if response is not None:
+            self.respond(request, *response)
         elif not request.possible_runs:
             self.respond(request, 503, self.retry_after_header(remaining), b"")
         else:
@@ -461,6 +462,7 @@
         """Record the end of a request once."""
         if not request.done:
             request.done = True
+            request.head = b""
             self.in_flight -= 1
             if request.is_root:
                 self.meter.record_end(request.root_route, completed=completed)
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -374,12 +374,12 @@
         if job.done:
             return
         if job.request is None:
-            job.done = True
+            job.end()
             self.waiting -= 1
         elif job.idempotent or not job.request.written:
-            job.done = True
             self.release_slot(job, self.clock.seconds())
             job.request.abandon()
+            job.end()
             self.dispatch_queued()
 
     def fail(self, job: Job, outcome: int, reason: str):
@@ -404,8 +404,9 @@
     def finish(self, job: Job, outcome, status, signature, head, body, reason):
         """Call ``on_end`` of a request once."""
         if not job.done:
-            job.done = True
-            job.on_end(job, outcome, status, signature, head, body, reason)
+            on_end = job.on_end
+            job.end()
+            on_end(job, outcome, status, signature, head, body, reason)
 
     def stop(self):
         """Cancel the timeouts and close idle connections."""
--- a/flamingosail/proxy/job.py
+++ b/flamingosail/proxy/job.py
@@ -96,3 +96,13 @@
         self.child_calls_succeeded = 0
         self.done = False
         self.stream = stream
+
+    def end(self):
+        """Mark the job as done and drop what only a pending one needs.
+
+        Timers keep ended jobs until their deadline, and ``request`` refers
+        back to its job.
+        """
+        self.done = True
+        self.head = self.body = b""
+        self.request = self.on_end = None
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -1,5 +1,7 @@
 """Tests of the gate in front of a backend server."""
 
+import gc
+
 from testtools import TestCase
 from twisted.internet.testing import MemoryReactorClock
 
@@ -153,6 +155,24 @@
         self.assertEqual([(b"a", Outcome.LOST)], self.outcomes())
         self.assertFalse(self.gate.running)
 
+    def test_an_ended_request_is_released_before_its_deadline(self):
+        """Ended requests stayed in memory until the garbage collection."""
+        self.gate.handle_report(make_report())
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        jobs = [
+            self.submit(request_id=bytes([i]), body=b"x", deadline=9.0)
+            for i in range(2)
+        ]
+        self.pool.sent[0].finish(make_response(body=b"y"))
+        self.gate.cancel(jobs[1])
+        self.assertEqual([b"", b""], [job.body for job in jobs])
+        self.pool.sent.clear()
+        jobs.clear()
+        self.ends.clear()
+        self.assertEqual(0, gc.collect())
+
     def test_a_stopping_node_refuses_new_requests(self):
         self.gate.handle_report(make_report())
         self.gate.closed = True
