Let two nodes of each failure domain follow the store for the others

Each applied configuration was sent as a status by every node to every other, and each status grouped all servers again: work that grows with the square of the nodes. Change: readers.py selects two readers from the reachable nodes of a failure domain, up to four while the store fails; Pong says whether its sender reaches the store. Readers tell near peers; a version that only far peers have is pulled after 0.5 s. At the first start a node writes its address before it reads, which saves a call. Servers are grouped once before the next call instead of at each change. Ruled out: relying on peers alone (a cut failure domain of one node), a lease in the store (needs writes, and a holder that wakes).

--- a/flamingosail/proxy/hop.py
+++ b/flamingosail/proxy/hop.py
@@ -140,12 +140,17 @@
 
 
 class Pong(Struct, tag=6, array_like=True, gc=False):
-    """Reply to a Ping with the load of the sender's gate."""
+    """Reply to a Ping with the load of the sender's gate.
+
+    ``reaches_store`` is false if the sender's last call to the metadata store
+    failed.
+    """
 
     running: int
     waiting: int
     capacity: int
     config_version: int
+    reaches_store: bool = True
 
 
 class Hello(Struct, tag=7, array_like=True, gc=False):
--- a/flamingosail/proxy/hopconnection.py
+++ b/flamingosail/proxy/hopconnection.py
@@ -91,6 +91,11 @@
         self.peer_address = ""
         self.failure_domain = ""
 
+    @property
+    def near(self) -> bool:
+        """Whether the other node is in our failure domain."""
+        return self.failure_domain == self.table.local.failure_domain
+
     def connectionMade(self):  # noqa: N802 - named by twisted
         """Send the state of the local server."""
         super().connectionMade()
@@ -122,6 +127,7 @@
                     gate.waiting,
                     gate.capacity,
                     self.table.config_version(),
+                    self.table.reaches_store,
                 )
             )
             self.table.pull_newer_config(message.config_version, self)
@@ -201,6 +207,11 @@
         self.last_ping_at = 0.0
         self.unanswered_since: float | None = None
 
+    @property
+    def near(self) -> bool:
+        """Whether the peer is in our failure domain."""
+        return self.peer.near
+
     def connectionMade(self):  # noqa: N802 - named by twisted
         """Make the connection available to the peer's calls."""
         super().connectionMade()
@@ -246,6 +257,7 @@
             peer.update_load(
                 message.running, message.waiting, message.capacity
             )
+            peer.reaches_store = message.reaches_store
             self.table.pull_newer_config(message.config_version, self)
         elif kind is Status:
             peer.handle_status(message)
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -115,7 +115,9 @@
             ),
             config_version=self.config_version,
             config_document=lambda: self.document,
-            on_config=lambda document: self.apply_config(document, "peer"),
+            on_config=lambda document: self.apply_config(
+                document, from_store=False
+            ),
         )
         self.forwarder = Forwarder(
             clock=reactor,
@@ -205,11 +207,12 @@
 
     # Configuration.
 
-    def apply_config(self, document: bytes, source: str):
+    def apply_config(self, document: bytes, *, from_store: bool):
         """Apply a configuration document if it is valid and newer.
 
-        ``source`` says in the log where it came from.
+        One that was read from the store is announced to near peers.
         """
+        source = "store" if from_store else "peer"
         try:
             route_table = self.parse_config(document)
         except ValueError as error:
@@ -232,7 +235,8 @@
         self.route_table = route_table
         self.document = document
         self.forwarder.set_route_table(route_table)
-        self.peers.broadcast_status()
+        if from_store:
+            self.peers.announce_config()
 
     # Start and stop.
 
--- a/flamingosail/proxy/peer.py
+++ b/flamingosail/proxy/peer.py
@@ -69,6 +69,7 @@
         self.next_dial_at = 0.0
         self.node = ""
         self.near = False
+        self.reaches_store = True
         self.last_call_at = 0.0
         self.load_updated_at = 0.0
 
@@ -123,7 +124,7 @@
             self.connection = None
             self.state = "absent"
             self.next_dial_at = 0.0
-            self.table.regroup_servers(self)
+            self.table.servers_changed()
             log.info("peer lost", extra={"peer": str(self.address)})
 
     def handle_hello(self, hello: Hello):
@@ -150,7 +151,7 @@
                 "state": self.state,
             },
         )
-        self.table.regroup_servers(self)
+        self.table.servers_changed()
 
     @property
     def busy_ping_seconds(self) -> float:
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -25,8 +25,9 @@
 from flamingosail.proxy.overload import LoadReport
 from flamingosail.proxy.peer import FAR_PING_SECONDS
 from flamingosail.proxy.peer import Peer
+from flamingosail.proxy.readers import is_reader
+from flamingosail.proxy.readers import ReaderCandidate
 from flamingosail.proxy.servers import LocalServer
-from flamingosail.proxy.servers import RemoteServer
 from flamingosail.settings import Address
 
 __all__ = ["PeerTable", "TICK_SECONDS"]
@@ -40,6 +41,9 @@
 IDLE_PING_SECONDS = 4.0
 # Upper bound of the age of a far server's load if it is pinged each second.
 MAX_PINGED_LOAD_AGE_SECONDS = 1.2
+# A configuration that only far peers have is pulled from them after this time.
+# Normally a reader of our own failure domain has it by then.
+FAR_PULL_DELAY_SECONDS = 0.5
 
 log = Logger("proxy.peers")
 
@@ -51,8 +55,11 @@
     node, ``config_version`` and ``config_document`` its configuration.
     ``on_reports`` is called with the load reports of all nodes, ``on_config``
     with a configuration document that a peer sent. ``inbound`` holds the
-    accepted connections, ``by_service`` the servers that are not absent, and
-    ``last_pull`` the version and time of the last ConfigPull. Near peers are
+    accepted connections, ``by_service`` the servers that are not absent,
+    ``last_pull`` the version and time of the last ConfigPull, and
+    ``newer_version`` the newest version that a peer announced with the time of
+    its first announcement. ``reaches_store`` is false if this node's last call
+    to the metadata store failed. Near peers are
     in the failure domain of this node, far peers in others.
     """
 
@@ -87,8 +94,10 @@
         self.on_config = on_config
         self.peers: dict[Address, Peer] = {}
         self.inbound: set[InboundConnection] = set()
-        self.by_service: dict[str, ServerGroup] = {}
+        self.groups: dict[str, ServerGroup] | None = None
         self.last_pull = (0, 0.0)
+        self.newer_version = (0, 0.0)
+        self.reaches_store = True
         self.own_report = LoadReport()
         self.reports = LoadReports(clock=reactor)
         self.near_ping_seconds = NEAR_PING_SECONDS
@@ -202,19 +211,34 @@
         if peer is not None and peer.connection is None:
             del self.peers[address]
             self.update_ping_intervals()
-            self.regroup_servers(peer)
+            self.servers_changed()
 
     def handle_hello(self, hello: Hello):
         """Dial back a node that has connected."""
         self.add(Address.parse(hello.address))
 
-    def regroup_servers(self, changed: RemoteServer | None = None):
-        """Group the servers that are not absent by service."""
-        grouped: dict[str, list[RemoteServer]] = {}
+    def servers_changed(self):
+        """Group the servers again before the next call.
+
+        Many states may change between two calls, for example when all nodes
+        start at the same time.
+        """
+        self.groups = None
+
+    @property
+    def by_service(self) -> dict[str, ServerGroup]:
+        """The servers that are not absent, by service."""
+        if self.groups is None:
+            self.groups = self.group_servers()
+        return self.groups
+
+    def group_servers(self) -> dict[str, ServerGroup]:
+        """Return the servers that are not absent, grouped by service."""
+        grouped: dict[str, list] = {}
         for server in (self.local, *self.peers.values()):
             if server.state in ("ready", "draining", "leaving"):
                 grouped.setdefault(server.service, []).append(server)
-        self.by_service = {
+        return {
             service: ServerGroup(servers, self.local.failure_domain)
             for service, servers in grouped.items()
         }
@@ -222,14 +246,46 @@
     def broadcast_status(self):
         """Send the state of the local server to all peers."""
         self.local.refresh()
-        self.regroup_servers()
+        self.servers_changed()
         status = self.status()
         for connection in list(self.inbound):
             connection.send(status)
 
+    def announce_config(self):
+        """Tell the near peers that this node has a newer configuration.
+
+        Far peers get it from a reader in their own failure domain.
+        """
+        status = self.status()
+        for connection in list(self.inbound):
+            if connection.near:
+                connection.send(status)
+
+    def set_reaches_store(self, reachable: bool):
+        """Record whether the last call to the metadata store succeeded."""
+        self.reaches_store = reachable
+
+    def is_store_reader(self) -> bool:
+        """Return whether this node has to read the metadata store."""
+        own = self.own_address
+        return is_reader(
+            ReaderCandidate(
+                address=(own.host, own.port), reaches_store=self.reaches_store
+            ),
+            (
+                ReaderCandidate(
+                    address=(peer.address.host, peer.address.port),
+                    reaches_store=peer.reaches_store,
+                )
+                for peer in self.peers.values()
+                if peer.near and peer.usable
+            ),
+        )
+
     def pull_newer_config(self, version: int, connection: HopProtocol):
         """Request a configuration that is newer than the one in force.
 
+        A far peer is asked only if no near one had the version in time.
         Unless ``version`` is newer than the last one requested, at most one
         request is sent in TICK_SECONDS.
         """
@@ -237,6 +293,14 @@
         if version <= own:
             return
         now = self.clock.seconds()
+        if version > self.newer_version[0]:
+            self.newer_version = (version, now)
+        if (
+            not connection.near
+            and now - self.newer_version[1] < FAR_PULL_DELAY_SECONDS
+            and any(peer.near and peer.usable for peer in self.peers.values())
+        ):
+            return
         requested_version, requested_at = self.last_pull
         if version > requested_version or now - requested_at > TICK_SECONDS:
             self.last_pull = (version, now)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -270,13 +270,17 @@
         target = b"/v1/readiness"
         self.control.handle(connection, b"GET", target, [], b"")
         self.assertEqual(503, connection.status)
-        self.node.apply_config(json.dumps(CONFIGURATION).encode(), "store")
+        self.node.apply_config(
+            json.dumps(CONFIGURATION).encode(), from_store=True
+        )
         self.control.handle(connection, b"GET", target, [], b"")
         self.assertEqual(200, connection.status)
 
     def test_older_or_invalid_configurations_are_ignored(self):
-        self.node.apply_config(json.dumps(CONFIGURATION).encode(), "store")
+        self.node.apply_config(
+            json.dumps(CONFIGURATION).encode(), from_store=True
+        )
         older = json.dumps({**CONFIGURATION, "version": 6}).encode()
-        self.node.apply_config(older, "peer")
-        self.node.apply_config(b"{cut", "peer")
+        self.node.apply_config(older, from_store=False)
+        self.node.apply_config(b"{cut", from_store=False)
         self.assertEqual(7, self.node.config_version())
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -146,6 +146,58 @@
         self.member_watch(1).run()
         self.assertEqual(1, self.store.calls.count("append"))
 
+    def test_at_the_first_start_a_node_writes_and_then_reads(self):
+        for port in (1, 2):
+            watch = self.member_watch(port)
+            watch.write_first = True
+            watch.run()
+        self.assertEqual(["append", "newest"] * 2, self.store.calls)
+        self.assertIn((2, 1), self.received)
+
+    def test_a_first_write_without_answer_is_repeated(self):
+        self.store.failures = [StoreUnavailable("lost")]
+        watch = self.member_watch(1)
+        watch.write_first = True
+        watch.run()
+        self.clock.pump([0.5] * 4)
+        self.assertEqual(["append", "append", "newest"], self.store.calls)
+
+    def test_only_readers_poll_again(self):
+        """All nodes polled, also while the store was down."""
+        readers = {1}
+        self.publish(b"1")
+        for number in (1, 2):
+            watch = self.config_watch()
+            watch.is_reader = lambda number=number: number in readers
+            watch.run()
+        self.assertEqual([b"1", b"1"], self.received)
+        self.publish(b"2")
+        self.clock.pump([0.5] * 8)
+        self.assertEqual([b"1", b"1", b"2"], self.received)
+        readers.add(2)
+        self.clock.pump([0.5] * 2)
+        self.assertEqual([b"1", b"1", b"2", b"2"], self.received)
+
+    def test_a_standby_polls_until_its_first_success(self):
+        self.store.failures = [StoreUnavailable("down")] * 3
+        reachable = []
+        watch = self.config_watch()
+        watch.is_reader = lambda: False
+        watch.on_reachable = reachable.append
+        watch.run()
+        self.publish(b"1")
+        self.clock.pump([0.5] * 20)
+        self.assertEqual([b"1"], self.received)
+        self.assertEqual([False, False, False, True], reachable)
+
+    def test_a_standby_polls_seldom(self):
+        watch = self.config_watch()
+        watch.is_reader = lambda: False
+        watch.run()
+        self.publish(b"1")
+        self.clock.pump([1.0] * 122)
+        self.assertEqual([b"1"], self.received)
+
     def test_an_expired_record_is_deleted_and_its_node_removed(self):
         entry = encode(MemberEntry(written=1e9 - EXPIRY_SECONDS - 1))
         self.store.records.append(Record(key="10.0.0.9:9", value=entry))
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -5,6 +5,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from flamingosail.proxy.hop import Call
+from flamingosail.proxy.hop import ConfigPull
 from flamingosail.proxy.hop import DomainLoad
 from flamingosail.proxy.hop import encode_frame
 from flamingosail.proxy.hop import FrameBuffer
@@ -160,6 +161,70 @@
         pings = self.run_for(10.0, *peers)
         self.assertLessEqual(sum(map(len, pings.values())), 440)
 
+    def test_the_store_is_read_by_two_nodes_of_a_failure_domain(self):
+        self.assertTrue(self.table.is_store_reader())
+        first = self.connect("10.0.0.1", "fd-a")
+        self.connect("10.0.0.2", "fd-b")
+        self.connect("10.0.0.9", "fd-a")
+        self.assertTrue(self.table.is_store_reader())
+        second = self.connect("10.0.0.3", "fd-a")
+        self.assertFalse(self.table.is_store_reader())
+        # One of the readers does not reach the store.
+        self.receive(first, Pong(0, 0, 10, 1, False))
+        self.assertTrue(self.table.is_store_reader())
+        self.receive(first, Pong(0, 0, 10, 1, True))
+        self.assertFalse(self.table.is_store_reader())
+        # One of the readers goes silent.
+        self.run_for(2.0, first)
+        self.assertFalse(second.usable)
+        self.assertTrue(self.table.is_store_reader())
+
+    def test_few_nodes_call_a_store_that_is_down(self):
+        for number in range(1, 5):
+            peer = self.connect(f"10.0.0.{number}", "fd-a")
+            self.assertEqual(number < 4, self.table.is_store_reader())
+            self.receive(peer, Pong(0, 0, 10, 1, False))
+
+    def test_a_configuration_is_pulled_from_near_peers_first(self):
+        """One reader would otherwise send it to all failure domains."""
+        near = self.connect("10.0.0.1", "fd-a")
+        far = self.connect("10.0.0.2", "fd-b")
+        self.receive(far, Pong(0, 0, 10, 2))
+        self.assertEqual([], self.pop_sent(far, ConfigPull))
+        self.receive(near, Pong(0, 0, 10, 2))
+        self.assertEqual(1, len(self.pop_sent(near, ConfigPull)))
+        self.clock.advance(1.0)
+        self.receive(far, Pong(0, 0, 10, 2))
+        self.assertEqual(1, len(self.pop_sent(far, ConfigPull)))
+
+    def test_a_node_without_near_peers_pulls_at_once(self):
+        far = self.connect("10.0.0.2", "fd-b")
+        self.receive(far, Pong(0, 0, 10, 2))
+        self.assertEqual(1, len(self.pop_sent(far, ConfigPull)))
+
+    def test_servers_are_grouped_once_for_many_changes(self):
+        """With n nodes starting, n groupings of n servers were made."""
+        groupings = []
+        group_servers = self.table.group_servers
+        self.table.group_servers = lambda: (
+            groupings.append(1) or group_servers()
+        )
+        for number in range(11, 19):
+            peer = self.connect(f"10.0.0.{number}", "fd-a")
+            self.receive(
+                peer,
+                Status("ready", "histbook", "i", 9, 0, 0, 0.0, False, 1),
+            )
+        servers = self.table.by_service["histbook"].same_domain
+        self.assertEqual((8, 1), (len(servers), len(groupings)))
+
+    def test_a_pong_of_an_earlier_release_is_understood(self):
+        frame = encode_frame(Pong(1, 2, 3, 4))
+        # The former message ended with the configuration's version.
+        body = bytes([frame[4] - 1]) + frame[5:-1]
+        former = len(body).to_bytes(4, "big") + body
+        self.assertEqual([Pong(1, 2, 3, 4)], FrameBuffer().feed(former))
+
     def test_one_node_of_a_domain_sends_the_aggregate(self):
         near, far = (
             self.connect("10.0.0.6", "fd-a"),
