Bound what a node holds of messages that have no end

Cause: a server in trouble, or a client, may send without end. Responses were limited to 64 MB each, times slots, against 200 MB of memory; 1xx and late responses reset the count, so that they were not limited at all; chunk extensions and trailers of requests were not counted; a body that stopped midway was kept as long as its connection. Change: all bytes since the request count; heads are limited to 64 KiB including informational responses; all responses that are arriving share an eighth of the VM's memory limit (limits.memoryMb), and the largest one ends when they exceed it; the same share for request bodies instead of a constant. A body has to arrive within the client's own deadline, else 408. A mark for surplus bytes is no longer cleared by a later 103, which let a connection with a second answer on it be used again.

--- a/flamingosail/proxy/backendserver.py
+++ b/flamingosail/proxy/backendserver.py
@@ -20,8 +20,10 @@
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
 # Reuse stops this long before the server's own timeout.
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
+# Limit on a header, including the informational responses before it.
 MAX_HEADER_BYTES = 65_536
-MAX_BODY_BYTES = 64 * 1024 * 1024
+# Limit on all that arrives for one request; see also ``ServerPool``.
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
 class ServerResponse:
@@ -109,9 +111,11 @@
 class ServerConnection(Protocol):
     """A keep-alive connection to the backend server.
 
-    ``pool`` is its ServerPool. While a response is parsed, ``surplus_input``
-    says that bytes arrived which do not belong to it, and ``has_length`` that
-    its end is known without the close of the connection.
+    ``pool`` is its ServerPool. ``size`` counts the bytes that arrived since
+    the request was sent, ``header_start`` those before the current response.
+    While a response is parsed, ``surplus_input`` says that bytes arrived which
+    do not belong to it, and ``has_length`` that its end is known without the
+    close of the connection.
     """
 
     def __init__(self, *, pool):
@@ -122,18 +126,19 @@
         self.open = False
         self.idle_since = 0.0
         self.idle_limit = DEFAULT_KEEP_ALIVE_SECONDS
+        self.size = 0
+        self.header_start = 0
+        self.surplus_input = False
         self.reset()
 
     def reset(self):
         """Reset the state of the response parsed so far."""
         self.complete = False
-        self.surplus_input = False
         self.in_body = False
         self.has_length = False
         self.status = 0
         self.head: list[bytes] = []
         self.chunks: list[bytes] = []
-        self.size = 0
         self.response_id = None
         self.signature = b""
         self.not_executed = False
@@ -153,6 +158,7 @@
         self.pool.remove(self)
         request = self.request
         if request is None:
+            self.release_buffer()
             return
         if (
             self.in_body
@@ -166,6 +172,7 @@
             self.deliver()
             return
         self.request = None
+        self.release_buffer()
         request.finish(None, "the server closed the connection")
 
     def dataReceived(self, data):  # noqa: N802 - named by twisted
@@ -174,6 +181,7 @@
             self.close()
             return
         self.size += len(data)
+        self.pool.buffered_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade) as error:
@@ -183,10 +191,15 @@
             self.surplus_input = True
         if self.complete:
             self.deliver()
-        elif not self.in_body and self.size > MAX_HEADER_BYTES:
+        elif (
+            not self.in_body
+            and self.size - self.header_start > MAX_HEADER_BYTES
+        ):
             self.fail("the header of the answer is too large")
-        elif self.size > MAX_BODY_BYTES:
+        elif self.size > MAX_RESPONSE_BYTES:
             self.fail("the answer is too large")
+        elif self.pool.buffered_bytes > self.pool.max_buffered_bytes:
+            self.pool.drop_largest_response()
 
     # Called by the HTTP parser.
 
@@ -254,6 +267,7 @@
             self.reset()
         elif request is not None and not self.matches(request):
             self.reset()
+            self.header_start = self.size
             self.surplus_input = True
         else:
             self.complete = True
@@ -273,7 +287,8 @@
     def send(self, request: ServerRequest):
         """Write a request."""
         self.reset()
-        self.size = 0
+        self.header_start = 0
+        self.surplus_input = False
         self.request = request
         request.connection = self
         request.written = True
@@ -284,6 +299,7 @@
         """Finish the request; release the connection if it is reusable."""
         request, self.request = self.request, None
         chunks, self.chunks = self.chunks, []
+        self.release_buffer()
         response = ServerResponse(
             status=self.status,
             head=b"".join(self.head),
@@ -303,6 +319,11 @@
             self.pool.release(self)
         request.finish(response)
 
+    def release_buffer(self):
+        """Subtract the bytes of this connection from the total of the pool."""
+        self.pool.buffered_bytes -= self.size
+        self.size = 0
+
     def fail(self, reason: str):
         """Close the connection and end the request without a response."""
         request, self.request = self.request, None
@@ -311,6 +332,8 @@
 
     def close(self):
         """Close the connection without flushing it."""
+        self.release_buffer()
+        self.chunks = []
         if self.open:
             self.open = False
             self.pool.remove(self)
--- a/flamingosail/proxy/client.py
+++ b/flamingosail/proxy/client.py
@@ -35,9 +35,13 @@
 # Added to the idle timeout, so that a client that keeps to it does not send a
 # request on a connection that is being closed.
 IDLE_MARGIN_SECONDS = 2.0
-# Limit on the request bodies of all clients that a node buffers; a quarter of
-# the smallest memory limit of the users' VMs (200 MB).
-MAX_BUFFERED_BODY_BYTES = 48 * 1024 * 1024
+# A body that the client does not send within its own timeout, or within this
+# time if it stated none, is given up.
+BODY_TIMEOUT_SECONDS = 30.0
+# Chunk sizes, extensions and trailers may take this many times the bytes of
+# the body, in addition to MAX_HEADER_OVERHEAD times the header limit.
+MAX_BODY_OVERHEAD = 8
+MAX_HEADER_OVERHEAD = 4
 MAX_REQUEST_ID_BYTES = 256
 
 log = Logger("proxy.client")
@@ -69,6 +73,7 @@
         self.body_chunks: list[bytes] = []
         self.body_bytes = 0
         self.header_bytes = 0
+        self.message_bytes = 0
         self.header_started_at = 0.0
         self.last_used = 0.0
         self.closing = False
@@ -95,6 +100,7 @@
             and not self.body_bytes
         ):
             self.header_bytes += len(data)
+        self.message_bytes += len(data)
         try:
             self.parser.feed_data(data)
             if (
@@ -103,6 +109,13 @@
                 and self.header_bytes > limits.max_header_bytes
             ):
                 raise _Rejected(431, "the header is too large")
+            if (
+                self.exchange is not None
+                and self.message_bytes
+                > MAX_HEADER_OVERHEAD * limits.max_header_bytes
+                + MAX_BODY_OVERHEAD * self.body_bytes
+            ):
+                raise _Rejected(413, "too many bytes around the body")
         except (HttpParserError, HttpParserUpgrade, _Rejected) as error:
             self.handle_completed()
             self.reject(error)
@@ -131,6 +144,7 @@
         exchange = self.exchange = Exchange(connection=self)
         exchange.arrived_at = None
         self.header_bytes = 0
+        self.message_bytes = 0
         self.header_started_at = self.listener.clock.seconds()
 
     def on_url(self, url: bytes):
@@ -172,7 +186,8 @@
         elif lower in (dialect.expected_instance, dialect.caller_service):
             return
         self.header_bytes += len(name) + len(value) + 4
-        if self.header_bytes > 4 * self.handler.limits.max_header_bytes:
+        limit = MAX_HEADER_OVERHEAD * self.handler.limits.max_header_bytes
+        if self.header_bytes > limit:
             raise _Rejected(431, "the header is too large")
         exchange.head += (name, b": ", value, b"\r\n")
 
@@ -196,7 +211,10 @@
         self.listener.buffered_body_bytes += size
         if self.body_bytes > self.handler.limits.max_body_bytes:
             raise _Rejected(413, "the body is too large")
-        if self.listener.buffered_body_bytes > MAX_BUFFERED_BODY_BYTES:
+        if (
+            self.listener.buffered_body_bytes
+            > self.listener.max_buffered_bytes
+        ):
             raise _Rejected(503, "no memory for the body")
         self.body_chunks.append(data)
 
@@ -296,6 +314,11 @@
                 > limits.header_timeout_seconds
             ):
                 self.reject(_Rejected(408, "the header took too long"))
+            elif (
+                self.exchange.arrived_at is not None
+                and now > self.body_deadline()
+            ):
+                self.reject(_Rejected(408, "the body took too long"))
         elif not self.pending and (
             now - self.last_used
             > limits.idle_timeout_seconds + IDLE_MARGIN_SECONDS
@@ -303,6 +326,13 @@
             self.closing = True
             self.transport.loseConnection()
 
+    def body_deadline(self) -> float:
+        """Return until when the body of the current request must arrive."""
+        timeout = BODY_TIMEOUT_SECONDS
+        if self.exchange.timeout_ms is not None:
+            timeout = min(timeout, self.exchange.timeout_ms / 1000)
+        return self.exchange.arrived_at + timeout
+
     def close_if_idle(self):
         """Close the connection unless a request is in progress."""
         if not self.pending and self.exchange is None:
@@ -314,7 +344,8 @@
     """Accepts and tracks the connections of clients.
 
     While ``draining``, connections are closed after their last pending
-    response. ``buffered_body_bytes`` is the size of all bodies being received.
+    response. ``buffered_body_bytes`` is the size of all bodies being received,
+    at most ``max_buffered_bytes``.
     """
 
     noisy = False
@@ -325,8 +356,10 @@
         clock: IReactorTime,
         dialect: Dialect,
         handler: ExchangeHandler,
+        max_buffered_bytes: int,
     ):
         self.clock = clock
+        self.max_buffered_bytes = max_buffered_bytes
         self.dialect = dialect
         self.handler = handler
         self.connections: set[ClientConnection] = set()
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -33,6 +33,10 @@
 # Open requests are aborted this long before the process would be killed.
 STOP_MARGIN_SECONDS = 0.5
 STOP_POLL_SECONDS = 0.1
+# Share of the memory for request bodies that are arriving, and the same for
+# responses. A message exists up to three times while it is passed on: in
+# pieces, joined, and as a frame that is being written.
+BUFFERED_MEMORY_SHARE = 1 / 8
 
 log = Logger("proxy.node")
 
@@ -45,7 +49,8 @@
     at ``advertised``. ``server`` is the address of the backend server of the
     VM. A server gets no requests ``drain_seconds`` after its deregistration,
     and the process is killed ``stop_seconds`` after SIGTERM. ``retry_ratio``
-    and ``retry_minimum`` are those of ``RetryBudget``.
+    and ``retry_minimum`` are those of ``RetryBudget``. ``memory_bytes`` is the
+    memory that the process may use.
     """
 
     name: str
@@ -59,6 +64,7 @@
     stop_seconds: float
     retry_ratio: float
     retry_minimum: float
+    memory_bytes: int
 
 
 class ProxyNode:
@@ -86,6 +92,7 @@
         self.stopping_since: float | None = None
         self.stop_seconds = config.stop_seconds
         self.ports = []
+        buffer_limit = int(config.memory_bytes * BUFFERED_MEMORY_SHARE)
         self.meter = LoadMeter(clock=reactor)
         self.metrics = NodeMetrics()
         self.gate = Gate(
@@ -93,7 +100,10 @@
             meter=self.meter,
             metrics=self.metrics,
             pool=ServerPool(
-                reactor=reactor, dialect=dialect, address=config.server
+                reactor=reactor,
+                dialect=dialect,
+                address=config.server,
+                max_buffered_bytes=buffer_limit,
             ),
             dialect=dialect,
             drain_seconds=config.drain_seconds,
@@ -145,7 +155,10 @@
             own_service=config.service,
         )
         self.clients = ClientListener(
-            clock=reactor, dialect=dialect, handler=self.forwarder
+            clock=reactor,
+            dialect=dialect,
+            handler=self.forwarder,
+            max_buffered_bytes=buffer_limit,
         )
 
         self.metrics.gauges.update(
--- a/flamingosail/proxy/serverpool.py
+++ b/flamingosail/proxy/serverpool.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+from logbook import Logger
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import ClientFactory
 
@@ -14,6 +15,8 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 
+log = Logger("proxy.serverpool")
+
 
 class ConnectionOpener(ClientFactory):
     """Opens a connection that sends one request as soon as it is open."""
@@ -61,12 +64,20 @@
 
     That one is the least likely to have reached its idle limit. ``connecting``
     is the number of connection attempts in progress, ``connect_count`` that
-    of all attempts since the start.
+    of all attempts since the start. ``buffered_bytes`` is the size of the
+    responses that are arriving, at most ``max_buffered_bytes``.
     """
 
     def __init__(
-        self, *, reactor: IReactorTCP, dialect: Dialect, address: Address
+        self,
+        *,
+        reactor: IReactorTCP,
+        dialect: Dialect,
+        address: Address,
+        max_buffered_bytes: int,
     ):
+        self.max_buffered_bytes = max_buffered_bytes
+        self.buffered_bytes = 0
         self.reactor = reactor
         self.dialect = dialect
         self.address = address
@@ -112,6 +123,16 @@
         connection.idle_since = self.reactor.seconds()
         self.idle.append(connection)
 
+    def drop_largest_response(self):
+        """End the request with the largest response, to free memory.
+
+        A server in trouble may send without end; the other responses are not
+        affected by it.
+        """
+        largest = max(self.connections, key=lambda connection: connection.size)
+        log.warning("response dropped", extra={"bytes": largest.size})
+        largest.fail("no memory for the answer")
+
     def opened(self, connection: ServerConnection):
         """Add a new connection."""
         self.connecting -= 1
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -203,6 +203,7 @@
                 server=Address("10.1.0.8", 8301),
                 drain_seconds=2.0,
                 retry_ratio=0.2,
+                memory_bytes=200_000_000,
                 retry_minimum=47,
                 stop_seconds=6.0,
             ),
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -38,15 +38,18 @@
     ).encode()
 
 
-class ClientConnectionTest(TestCase):
-    """Guards against swapped, lost or truncated responses."""
+class ClientConnectionCase(TestCase):
+    """A connection of a client to a node."""
 
     def setUp(self):
         super().setUp()
         self.clock = MemoryReactorClock()
         self.handler = Handler()
         self.listener = ClientListener(
-            clock=self.clock, dialect=DIALECT, handler=self.handler
+            clock=self.clock,
+            dialect=DIALECT,
+            handler=self.handler,
+            max_buffered_bytes=10_000,
         )
         self.connection = self.listener.buildProtocol(None)
         self.transport = ClosingTransport()
@@ -58,6 +61,10 @@
     def written(self) -> bytes:
         return self.transport.value()
 
+
+class ClientConnectionTest(ClientConnectionCase):
+    """Guards against swapped, lost or truncated responses."""
+
     def test_pipelined_responses_keep_the_order_of_the_requests(self):
         self.receive(request("a") + request("b"))
         first, second = self.handler.exchanges
@@ -176,8 +183,62 @@
         self.assertLess(written.index(b"whole"), written.index(b"400"))
 
 
-class ServerConnectionTest(TestCase):
-    """Guards against incomplete responses and those of other requests."""
+class EndlessRequestTest(ClientConnectionCase):
+    """Clients that send without end, or stop in the middle."""
+
+    HEAD = (
+        b"POST /a HTTP/1.1\r\nHost: h\r\nx-id: a\r\n"
+        b"Transfer-Encoding: chunked\r\n"
+    )
+
+    def assert_ended(self, status: bytes, pieces: int = 100):
+        """Feed pieces of 1 kB until the request is answered."""
+        for _ in range(pieces):
+            self.receive(b"x" * 1000)
+            if self.transport.closed:
+                break
+        self.assertIn(status, self.written().partition(b"\r\n")[0])
+        self.assertEqual(0, self.listener.buffered_body_bytes)
+        self.assertEqual([], self.handler.exchanges)
+
+    def test_a_target_without_end(self):
+        self.receive(b"GET /")
+        self.assert_ended(b"431")
+
+    def test_a_header_line_without_end(self):
+        self.receive(b"GET / HTTP/1.1\r\nHost: ")
+        self.assert_ended(b"431")
+
+    def test_a_chunk_extension_without_end(self):
+        self.receive(self.HEAD + b"\r\n1;")
+        self.assert_ended(b"413")
+
+    def test_a_trailer_without_end(self):
+        self.receive(self.HEAD + b"\r\n1\r\nx\r\n0\r\nTrailer: ")
+        self.assert_ended(b"413")
+
+    def test_bodies_share_the_memory(self):
+        self.handler.limits = ClientLimits(
+            max_header_bytes=1000, max_body_bytes=1_000_000
+        )
+        self.receive(self.HEAD + b"\r\nfffff\r\n")
+        self.assert_ended(b"503")
+
+    def test_a_body_that_stops_midway_is_given_up(self):
+        """Its bytes stayed in memory as long as the connection."""
+        self.receive(self.HEAD + b"x-deadline: 2000\r\n\r\n5\r\nab")
+        self.assertEqual(2, self.listener.buffered_body_bytes)
+        self.clock.advance(1.9)
+        self.listener.sweep()
+        self.assertEqual(b"", self.written())
+        self.clock.advance(0.2)
+        self.listener.sweep()
+        self.assertIn(b" 408 ", self.written())
+        self.assertEqual(0, self.listener.buffered_body_bytes)
+
+
+class ServerConnectionCase(TestCase):
+    """A connection to a backend server with a request under way."""
 
     def setUp(self):
         super().setUp()
@@ -185,10 +246,12 @@
             reactor=MemoryReactorClock(),
             dialect=DIALECT,
             address=Address("127.0.0.1", 80),
+            max_buffered_bytes=300_000,
         )
         self.connection = ServerConnection(pool=self.pool)
         self.transport = ClosingTransport()
         self.connection.makeConnection(self.transport)
+        self.pool.connections.add(self.connection)
         self.ends = []
         self.connection.send(self.request(b"b"))
 
@@ -209,6 +272,10 @@
             f"Content-Length: {len(body)}\r\n\r\n{body}"
         ).encode()
 
+
+class ServerConnectionTest(ServerConnectionCase):
+    """Guards against incomplete responses and those of other requests."""
+
     def test_a_late_response_to_another_request_is_skipped(self):
         self.connection.dataReceived(self.response("a", "former"))
         self.assertEqual([], self.ends)
@@ -262,3 +329,79 @@
         request.abandon()
         self.assertTrue(self.transport.aborted)
         self.assertEqual([], self.ends)
+
+
+class EndlessResponseTest(ServerConnectionCase):
+    """A server in trouble sends bytes that are no response, without end."""
+
+    OK = b"HTTP/1.1 200 OK\r\nx-id: b\r\n"
+
+    def assert_ended(self, start: bytes, piece: bytes = b"x" * 10_000):
+        """Check that the connection is closed after 300 kB at most."""
+        self.connection.dataReceived(start)
+        for _ in range(40):
+            if self.transport.aborted:
+                break
+            self.connection.dataReceived(piece)
+        self.assertTrue(self.transport.aborted)
+        self.assertEqual([None], [body for body, _ in self.ends])
+        self.assertEqual(0, self.pool.buffered_bytes)
+        self.assertEqual([], self.connection.chunks)
+
+    def test_a_status_line_without_end(self):
+        self.assert_ended(b"HTTP/1.1 200 ")
+
+    def test_a_header_line_without_end(self):
+        self.assert_ended(self.OK + b"Server: ")
+
+    def test_header_lines_without_end(self):
+        self.assert_ended(self.OK, b"Server: x\r\n" * 1000)
+
+    def test_informational_responses_without_end(self):
+        self.assert_ended(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 400)
+
+    def test_responses_to_other_requests_without_end(self):
+        self.assert_ended(b"", self.response("a", "former") * 200)
+
+    def test_a_body_without_length_and_without_end(self):
+        self.assert_ended(self.OK + b"\r\n")
+
+    def test_a_chunked_body_without_end(self):
+        chunk = b"2710\r\n" + b"x" * 10_000 + b"\r\n"
+        self.assert_ended(
+            self.OK + b"Transfer-Encoding: chunked\r\n\r\n", chunk
+        )
+
+    def test_a_chunk_extension_without_end(self):
+        self.assert_ended(self.OK + b"Transfer-Encoding: chunked\r\n\r\n1;")
+
+    def test_a_trailer_without_end(self):
+        self.assert_ended(
+            self.OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\nTrailer: "
+        )
+
+    def test_other_responses_of_the_server_are_not_affected(self):
+        other = ServerConnection(pool=self.pool)
+        other.makeConnection(ClosingTransport())
+        self.pool.connections.add(other)
+        other.send(self.request(b"c"))
+        data = self.response("c", "y" * 20_000)
+        other.dataReceived(data[:10_000])
+        self.connection.dataReceived(self.OK + b"\r\n")
+        while not self.transport.aborted:
+            self.connection.dataReceived(b"x" * 10_000)
+        other.dataReceived(data[10_000:])
+        self.assertEqual(
+            [None, b"y" * 20_000], [body for body, _ in self.ends]
+        )
+        self.assertEqual(0, self.pool.buffered_bytes)
+
+    def test_a_connection_with_informational_surplus_is_not_reused(self):
+        """A 103 after a late response cleared the mark of the surplus."""
+        self.connection.dataReceived(
+            self.response("a", "former")
+            + b"HTTP/1.1 103 Early Hints\r\n\r\n"
+            + self.response("b", "own")
+        )
+        self.assertEqual([(b"own", "")], self.ends)
+        self.assertTrue(self.transport.aborted)
