Check a server before a restarted node uses it again

Cause: what a server says of its leaving lives in the memory of the node beside it. If that node restarted, a delayed report of the server made it ready again, and a server that was already draining got a whole new drain time. Change: the first report after a restart is checked at the server's health endpoint; a full server counts as serving, and one whose endpoint does not confirm it is used once it reports again at least 1 s later, since delayed reports arrive together. A first report that says draining gets nothing. Weighed: asking the peers (they may have restarted too), the store (a write for each leaving server), waiting for two reports always (1.5 s more at each restart).

--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -22,6 +22,7 @@
 from flamingosail.proxy.job import ServerReport
 from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.overload import LoadMeter
+from flamingosail.proxy.servercheck import ServerCheck
 from flamingosail.proxy.serverpool import ServerPool
 from flamingosail.proxy.speed import SpeedMeter
 from flamingosail.proxy.timeouts import Timeouts
@@ -75,7 +76,8 @@
     state of the server changes. ``expected_seconds`` returns the mean time of
     the calls of a root route at a service, None if it is not known.
     ``deregistrations`` maps an instance to the time when draining began and
-    the latest start to which that applies.
+    the latest start to which that applies. ``check`` is set while the gate of
+    a restarted node has not confirmed that its server still serves.
     ``queue`` is a heap ordered by rank, deadline and arrival, ``waiting`` the
     number of its jobs that were neither cancelled nor timed out.
     """
@@ -112,11 +114,40 @@
         self.arrivals = count()
         self.waiting = 0
         self.service_seconds = INITIAL_SERVICE_SECONDS
+        self.check: ServerCheck | None = None
         self.timeouts = Timeouts(clock=clock, on_due=self.handle_timeout)
 
     # Server state.
 
     def handle_report(self, report: ServerReport):
+        """Update the server's state unless the report is old or repeated.
+
+        After a restart of the node, the first report is checked before it
+        counts.
+        """
+        if self.check is None:
+            self.accept_report(report)
+        elif report.state == "ready":
+            self.check.check(report)
+        else:
+            # The former process may have acknowledged the draining long ago.
+            self.accept_leaving(report)
+
+    def report_confirmed(self, report: ServerReport):
+        """Accept a checked report."""
+        self.check = None
+        self.accept_report(report)
+
+    def accept_leaving(self, report: ServerReport):
+        """Accept the report of a server whose drain time may have passed."""
+        self.check = None
+        self.deregistrations[report.instance] = (
+            self.clock.seconds() - self.drain_seconds,
+            report.start_ms,
+        )
+        self.accept_report(report)
+
+    def accept_report(self, report: ServerReport):
         """Update the server's state unless the report is old or repeated."""
         known = self.report
         if known is not None and (report.start_ms, report.sequence) <= (
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -21,6 +21,7 @@
 from flamingosail.proxy.overload import LoadReport
 from flamingosail.proxy.peers import PeerTable
 from flamingosail.proxy.routes import RouteTable
+from flamingosail.proxy.servercheck import ServerCheck
 from flamingosail.proxy.serverpool import ServerPool
 from flamingosail.proxy.servers import LocalServer
 from flamingosail.settings import Address
@@ -50,7 +51,8 @@
     VM. A server gets no requests ``drain_seconds`` after its deregistration,
     and the process is killed ``stop_seconds`` after SIGTERM. ``retry_ratio``
     and ``retry_minimum`` are those of ``RetryBudget``. ``memory_bytes`` is the
-    memory that the process may use.
+    memory that the process may use. ``first_start`` is false if a former
+    process may have known the backend server.
     """
 
     name: str
@@ -65,6 +67,7 @@
     retry_ratio: float
     retry_minimum: float
     memory_bytes: int
+    first_start: bool = True
 
 
 class ProxyNode:
@@ -114,6 +117,13 @@
                 )
             ),
         )
+        if not config.first_start:
+            self.gate.check = ServerCheck(
+                clock=reactor,
+                pool=self.gate.pool,
+                health_path=self.health_path,
+                on_confirmed=self.gate.report_confirmed,
+            )
         self.local = LocalServer(
             gate=self.gate, failure_domain=config.failure_domain
         )
@@ -215,6 +225,15 @@
         capacity = gate.capacity if usable else 0
         return self.meter.report(self.config.service, capacity, gate.waiting)
 
+    def health_path(self, service: str) -> str | None:
+        """Return the path of a service's health endpoint.
+
+        It is empty if the service has none, None without a configuration.
+        """
+        if self.route_table is None:
+            return None
+        return self.route_table.health_paths.get(service, "")
+
     def config_version(self) -> int:
         """Return the version of the configuration in force; 0 if none is."""
         return self.route_table.version if self.route_table is not None else 0
@@ -253,6 +272,8 @@
         self.route_table = route_table
         self.document = document
         self.forwarder.set_route_table(route_table)
+        if self.gate.check is not None:
+            self.gate.check.ask()
         if from_store:
             self.peers.announce_config()
 
--- a/flamingosail/proxy/routes.py
+++ b/flamingosail/proxy/routes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 
 __all__ = [
     "ClientLimits",
@@ -51,12 +52,14 @@
     """One version of the configuration.
 
     ``hosts`` maps a host to its routes by path prefix; each prefix begins and
-    ends with a slash.
+    ends with a slash. ``health_paths`` holds the paths of the services' health
+    endpoints by service.
     """
 
     version: int
     hosts: Mapping[bytes, Mapping[bytes, Route]]
     limits: ClientLimits
+    health_paths: Mapping[str, str] = field(default_factory=dict)
 
     def find(self, host: bytes, target: bytes) -> Route | None:
         """Return the route with the longest prefix that matches the path."""
--- a/tests/proxyfakes.py
+++ b/tests/proxyfakes.py
@@ -51,6 +51,8 @@
 class FakePool:
     """Records the requests that a gate sends."""
 
+    address = "127.0.0.1:80"
+
     def __init__(self):
         self.sent = []
 
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -6,6 +6,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from flamingosail.proxy.hop import Outcome
+from flamingosail.proxy.servercheck import ServerCheck
 from tests.proxyfakes import FakePool
 from tests.proxyfakes import make_gate
 from tests.proxyfakes import make_job
@@ -13,6 +14,99 @@
 from tests.proxyfakes import make_response
 
 
+class RestartTest(TestCase):
+    """A node restarts beside a server that its former process knew."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = MemoryReactorClock()
+        self.pool = FakePool()
+        self.gate = make_gate(self.clock, pool=self.pool)
+        self.path = "/health"
+        self.gate.check = ServerCheck(
+            clock=self.clock,
+            pool=self.pool,
+            health_path=lambda service: self.path,
+            on_confirmed=self.gate.report_confirmed,
+        )
+
+    def answer(self, status: int, **changes):
+        request = self.pool.sent[-1]
+        self.assertIn(b"GET /health HTTP/1.1\r\n", request.data)
+        request.finish(make_response(status=status, **changes))
+
+    def test_a_delayed_report_of_a_server_that_left_is_not_trusted(self):
+        """The former process had acknowledged that it leaves."""
+        self.gate.handle_report(make_report())
+        self.assertEqual("absent", self.gate.state)
+        self.answer(503)
+        self.assertEqual("absent", self.gate.state)
+        # Several delayed reports arrive together.
+        self.gate.handle_report(make_report(sequence=2))
+        self.answer(503)
+        self.assertEqual("absent", self.gate.state)
+
+    def test_a_server_that_reports_again_is_used(self):
+        """Its health endpoint may be wrong."""
+        self.gate.handle_report(make_report())
+        self.answer(503)
+        self.clock.advance(1.5)
+        self.gate.handle_report(make_report(sequence=2))
+        self.assertEqual("ready", self.gate.state)
+
+    def test_a_repeated_report_confirms_nothing(self):
+        self.gate.handle_report(make_report())
+        self.clock.advance(1.5)
+        self.gate.handle_report(make_report())
+        self.assertEqual("absent", self.gate.state)
+
+    def test_a_delayed_report_of_a_server_that_ended_is_not_trusted(self):
+        self.gate.handle_report(make_report())
+        self.pool.sent[-1].finish(None, "connecting failed")
+        self.assertEqual("absent", self.gate.state)
+
+    def test_another_server_at_the_address_does_not_confirm_it(self):
+        self.gate.handle_report(make_report())
+        self.answer(200, instance=b"i-2")
+        self.assertEqual("absent", self.gate.state)
+
+    def test_a_server_that_serves_is_used_at_once(self):
+        self.gate.handle_report(make_report())
+        self.answer(200, instance=b"i-1")
+        self.assertEqual("ready", self.gate.state)
+        self.gate.handle_report(make_report(sequence=2))
+        self.assertEqual(1, len(self.pool.sent))
+
+    def test_a_full_server_is_used(self):
+        self.gate.handle_report(make_report())
+        self.answer(503, not_executed=True)
+        self.assertEqual("ready", self.gate.state)
+
+    def test_a_check_waits_for_the_configuration(self):
+        self.path = None
+        self.gate.handle_report(make_report())
+        self.assertEqual([], self.pool.sent)
+        self.path = ""
+        self.gate.check.ask()
+        self.assertEqual("ready", self.gate.state)
+
+    def test_a_server_that_drains_already_gets_nothing(self):
+        """Its drain time began with the former process."""
+        self.gate.handle_report(make_report(state="draining"))
+        self.assertEqual("absent", self.gate.state)
+
+    def test_the_next_start_of_a_server_that_left_is_used(self):
+        self.gate.handle_report(make_report(state="draining"))
+        self.gate.handle_report(make_report(start_ms=2000))
+        self.assertEqual("ready", self.gate.state)
+
+    def test_a_deregistration_during_the_check_counts(self):
+        self.gate.handle_report(make_report())
+        self.gate.handle_deregistration("i-1", 1000)
+        self.answer(200)
+        self.assertEqual("draining", self.gate.state)
+
+
 class GateTest(TestCase):
     """Guards queue order, draining, and correct outcomes of requests."""
 
