--- a/flamingosail/proxy/client.py
+++ b/flamingosail/proxy/client.py
@@ -386,7 +386,12 @@
         now = self.clock.seconds()
         limits = self.handler.limits
         for connection in list(self.connections):
-            connection.sweep(now, limits)
+            try:
+                connection.sweep(now, limits)
+            except Exception:
+                # An error would end the loop for all connections.
+                log.exception("sweep failed")
+                connection.transport.abortConnection()
 
     def close_idle(self):
         """Close the connections without a request in progress."""
--- a/flamingosail/proxy/timeouts.py
+++ b/flamingosail/proxy/timeouts.py
@@ -5,6 +5,7 @@
 from heapq import heappush
 from itertools import count
 
+from logbook import Logger
 from twisted.internet.interfaces import IReactorTime
 
 __all__ = ["Timeouts"]
@@ -13,6 +14,8 @@
 # of an interval.
 RESOLUTION_SECONDS = 0.02
 
+log = Logger("proxy.timeouts")
+
 
 class Timeouts:
     """Calls ``on_due(item)`` at a set time unless ``item.done`` is set.
@@ -61,7 +64,12 @@
         while heap and (heap[0][0] <= now or heap[0][2].done):
             item = heappop(heap)[2]
             if not item.done:
-                self.on_due(item)
+                try:
+                    self.on_due(item)
+                except Exception:
+                    # The other timeouts must not wait for the next call of
+                    # ``add``.
+                    log.exception("timeout failed")
         if self.timer is None:
             self.arm()
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,12 +3,15 @@
 import json
 import platform
 import sys
+from pathlib import Path
 from random import Random
+from tempfile import TemporaryDirectory
 
 from flamingosail_platform.configuration import parse_configuration
 from flamingosail_platform.control import ControlHandler
 from flamingosail_platform.dialect import DIALECT
 from flamingosail_platform.settings import parse_platform_settings
+from flamingosail_platform.settings import read_platform_settings
 from msgspec.json import encode
 from testtools import ExpectedException
 from testtools import TestCase
@@ -108,6 +111,21 @@
         self.assertEqual(Address("10.1.0.8", 8304), settings.clients)
         self.assertEqual(2.0, settings.drain_seconds)
 
+    def test_unreadable_settings_are_an_error_of_the_settings(self):
+        """Another error would end the loop that rereads changed settings."""
+        directory = TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        path = Path(directory.name, "settings")
+        path.write_bytes(b"node=\xff\xfe\n")
+        with ExpectedException(ExceptionGroup):
+            read_platform_settings(path)
+
+    def test_the_memory_limit_has_a_default(self):
+        settings = parse_platform_settings(SETTINGS)
+        self.assertEqual(200_000_000, settings.memory_bytes)
+        settings = parse_platform_settings(SETTINGS + "limits.memoryMb=552\n")
+        self.assertEqual(552_000_000, settings.memory_bytes)
+
     def test_all_invalid_settings_are_reported(self):
         text = SETTINGS.replace("appAddr=10.1.0.8:8301", "appAddr=here")
         text = text.replace("drainS=2", "drainS=-2").replace("node=", "n=")
@@ -253,6 +271,9 @@
         self.assertEqual(
             400, self.post("/v1/Instances.Heartbeat/i-2", b"{cut")
         )
+        self.assertEqual(
+            400, self.send_heartbeat(instance="i-2%0d%0aHost:%20other")
+        )
         self.assertEqual("i-1", self.node.gate.report.instance)
 
     def test_a_deregistration_before_the_first_heartbeat_counts(self):
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -169,6 +169,17 @@
         self.handler.exchanges[0].respond(200, b"", b"whole")
         self.assertIn(b"whole", self.written())
 
+    def test_an_error_at_one_connection_does_not_stop_the_sweeps(self):
+        self.listener.start()
+        self.addCleanup(self.listener.stop)
+        other = self.listener.buildProtocol(None)
+        other.makeConnection(ClosingTransport())
+        other.sweep = lambda now, limits: 1 / 0
+        self.receive(b"GET / HTTP/1.1\r\n")
+        self.clock.pump([0.5] * 8)
+        self.assertTrue(other.transport.aborted)
+        self.assertIn(b" 408 ", self.written())
+
     def test_a_client_that_reads_nothing_is_disconnected(self):
         self.receive(request("a", "Connection: close\r\n"))
         self.handler.exchanges[0].respond(200, b"", b"whole")
--- a/tests/test_proxy_timeouts.py
+++ b/tests/test_proxy_timeouts.py
@@ -39,3 +39,16 @@
         self.clock.pump([0.01] * 50)
         self.assertEqual(["due"], [name for name, _ in self.due])
         self.assertEqual([], self.clock.getDelayedCalls())
+
+    def test_an_error_in_one_timeout_does_not_delay_the_others(self):
+        self.add("broken", 0.2).name = None
+        self.add("next", 0.2)
+        self.add("last", 0.4)
+
+        def time_out(item):
+            item.done = True
+            self.due.append(item.name.upper())
+
+        self.timeouts.on_due = time_out
+        self.clock.pump([0.01] * 50)
+        self.assertEqual(["NEXT", "LAST"], self.due)
