--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -183,6 +183,10 @@
                 for peer in self.peers.peers.values()
             ),
             config_version=self.config_version,
+            store_reader=lambda: int(self.peers.was_store_reader),
+            server_slowness=self.gate.speed.slowness,
+            buffered_request_bytes=lambda: self.clients.buffered_body_bytes,
+            buffered_response_bytes=lambda: self.gate.pool.buffered_bytes,
             server_connects=lambda: self.gate.pool.connect_count,
             # The metric calls retries second sends.
             second_sends_refused=lambda: self.forwarder.budget.refused,
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -98,6 +98,7 @@
         self.last_pull = (0, 0.0)
         self.newer_version = (0, 0.0)
         self.reaches_store = True
+        self.was_store_reader = False
         self.own_report = LoadReport()
         self.reports = LoadReports(clock=reactor)
         self.near_ping_seconds = NEAR_PING_SECONDS
@@ -269,7 +270,7 @@
     def is_store_reader(self) -> bool:
         """Return whether this node has to read the metadata store."""
         own = self.own_address
-        return is_reader(
+        reader = is_reader(
             ReaderCandidate(
                 address=(own.host, own.port), reaches_store=self.reaches_store
             ),
@@ -282,6 +283,13 @@
                 if peer.near and peer.usable
             ),
         )
+        if reader != self.was_store_reader:
+            self.was_store_reader = reader
+            log.info(
+                "store reader" if reader else "store standby",
+                extra={"reaches_store": self.reaches_store},
+            )
+        return reader
 
     def pull_newer_config(self, version: int, connection: HopProtocol):
         """Request a configuration that is newer than the one in force.
