Limit what a body may have between two of its pieces

Cause, found by the new process test: a trailer without end took until the deadline (504 instead of 502), since the parser joins the parts of a line again with each part, which costs processor time with the square of its length, up to the share of the memory. Change: at most 64 KiB may arrive from a server without a piece of a body (four times the header limit from a client), be it a header, chunk extensions or a trailer. It replaces the count of overhead by the size of the body.

--- a/flamingosail/proxy/backendserver.py
+++ b/flamingosail/proxy/backendserver.py
@@ -20,7 +20,10 @@
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
 # Reuse stops this long before the server's own timeout.
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
-# Limit on a header, including the informational responses before it.
+# Limit on a header, including the informational responses before it, and on
+# what a chunked body may have between two pieces: extensions and trailers. The
+# parser joins the parts of a line again with each part that arrives, so that a
+# long line also costs processor time.
 MAX_HEADER_BYTES = 65_536
 # Limit on all that arrives for one request; see also ``ServerPool``.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
@@ -112,7 +115,8 @@
     """A keep-alive connection to the backend server.
 
     ``pool`` is its ServerPool. ``size`` counts the bytes that arrived since
-    the request was sent, ``header_start`` those before the current response.
+    the request was sent, ``bodiless_bytes`` those since the last piece of a
+    body or the end of a response.
     While a response is parsed, ``surplus_input`` says that bytes arrived which
     do not belong to it, and ``has_length`` that its end is known without the
     close of the connection.
@@ -127,7 +131,7 @@
         self.idle_since = 0.0
         self.idle_limit = DEFAULT_KEEP_ALIVE_SECONDS
         self.size = 0
-        self.header_start = 0
+        self.bodiless_bytes = 0
         self.surplus_input = False
         self.reset()
 
@@ -181,6 +185,7 @@
             self.close()
             return
         self.size += len(data)
+        self.bodiless_bytes += len(data)
         self.pool.buffered_bytes += len(data)
         try:
             self.parser.feed_data(data)
@@ -191,11 +196,9 @@
             self.surplus_input = True
         if self.complete:
             self.deliver()
-        elif (
-            not self.in_body
-            and self.size - self.header_start > MAX_HEADER_BYTES
-        ):
-            self.fail("the header of the answer is too large")
+        elif self.bodiless_bytes > MAX_HEADER_BYTES:
+            part = "chunk overhead" if self.in_body else "header"
+            self.fail(f"the {part} of the answer is too large")
         elif self.size > MAX_RESPONSE_BYTES:
             self.fail("the answer is too large")
         elif self.pool.buffered_bytes > self.pool.max_buffered_bytes:
@@ -252,6 +255,7 @@
         if self.complete:
             self.surplus_input = True
         else:
+            self.bodiless_bytes = 0
             self.chunks.append(data)
 
     def on_message_complete(self):
@@ -267,7 +271,7 @@
             self.reset()
         elif request is not None and not self.matches(request):
             self.reset()
-            self.header_start = self.size
+            self.bodiless_bytes = 0
             self.surplus_input = True
         else:
             self.complete = True
@@ -287,7 +291,7 @@
     def send(self, request: ServerRequest):
         """Write a request."""
         self.reset()
-        self.header_start = 0
+        self.bodiless_bytes = 0
         self.surplus_input = False
         self.request = request
         request.connection = self
--- a/flamingosail/proxy/client.py
+++ b/flamingosail/proxy/client.py
@@ -38,9 +38,8 @@
 # A body that the client does not send within its own timeout, or within this
 # time if it stated none, is given up.
 BODY_TIMEOUT_SECONDS = 30.0
-# Chunk sizes, extensions and trailers may take this many times the bytes of
-# the body, in addition to MAX_HEADER_OVERHEAD times the header limit.
-MAX_BODY_OVERHEAD = 8
+# The bytes of a header, and those between two pieces of a chunked body, may
+# take this many times the header limit; some headers are not counted there.
 MAX_HEADER_OVERHEAD = 4
 MAX_REQUEST_ID_BYTES = 256
 
@@ -73,7 +72,7 @@
         self.body_chunks: list[bytes] = []
         self.body_bytes = 0
         self.header_bytes = 0
-        self.message_bytes = 0
+        self.bodiless_bytes = 0
         self.header_started_at = 0.0
         self.last_used = 0.0
         self.closing = False
@@ -100,7 +99,7 @@
             and not self.body_bytes
         ):
             self.header_bytes += len(data)
-        self.message_bytes += len(data)
+        self.bodiless_bytes += len(data)
         try:
             self.parser.feed_data(data)
             if (
@@ -111,11 +110,10 @@
                 raise _Rejected(431, "the header is too large")
             if (
                 self.exchange is not None
-                and self.message_bytes
+                and self.bodiless_bytes
                 > MAX_HEADER_OVERHEAD * limits.max_header_bytes
-                + MAX_BODY_OVERHEAD * self.body_bytes
             ):
-                raise _Rejected(413, "too many bytes around the body")
+                raise _Rejected(413, "too many bytes between body pieces")
         except (HttpParserError, HttpParserUpgrade, _Rejected) as error:
             self.handle_completed()
             self.reject(error)
@@ -144,7 +142,7 @@
         exchange = self.exchange = Exchange(connection=self)
         exchange.arrived_at = None
         self.header_bytes = 0
-        self.message_bytes = 0
+        self.bodiless_bytes = 0
         self.header_started_at = self.listener.clock.seconds()
 
     def on_url(self, url: bytes):
@@ -207,6 +205,7 @@
     def on_body(self, data: bytes):
         """Buffer a part of the body."""
         size = len(data)
+        self.bodiless_bytes = 0
         self.body_bytes += size
         self.listener.buffered_body_bytes += size
         if self.body_bytes > self.handler.limits.max_body_bytes:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -3,12 +3,15 @@
 import json
 import signal
 import socket
+import threading
 import time
 import urllib.error
 import urllib.request
+from pathlib import Path
 
 from flamingosail_platform.store import encode_record
 from flamingosail_platform.store import Record
+from platform_standins.server import ENDLESS
 from testtools import TestCase
 
 from experiments.platformcluster import Cluster
@@ -115,9 +118,9 @@
         }
         return call(vm.clients, path, body=body, headers=headers)
 
-    def test_requests_take_two_hops_and_a_node_shuts_down_gracefully(self):
-        vms = self.cluster.vms
-        for vm in vms.values():
+    def wait_until_served(self):
+        """Wait until each node is ready and serves a request."""
+        for vm in self.cluster.vms.values():
             self.wait_until(
                 lambda vm=vm: call(vm.ready, "/v1/readiness")[0] == 200
             )
@@ -126,6 +129,49 @@
                     self.request(vm, "/read/a", f"warm{time.time()}")[0] == 200
                 )
             )
+
+    def resident_mb(self) -> float:
+        """Return the memory of the largest node in MB."""
+        sizes = []
+        for name in self.cluster.vms:
+            pid = self.cluster.processes[f"node-{name}"].pid
+            status = Path(f"/proc/{pid}/status").read_text()
+            line = status.partition("VmHWM:")[2].split()
+            sizes.append(int(line[0]) / 1000)
+        return max(sizes)
+
+    def test_bytes_without_end_from_a_server(self):
+        """They end in bounded time and memory, and disturb no other."""
+        self.wait_until_served()
+        vm = self.cluster.vms["front-0"]
+        before = self.resident_mb()
+        others = []
+        stopping = threading.Event()
+
+        def send_others():
+            while not stopping.is_set():
+                name = f"other{len(others)}"
+                others.append(self.request(vm, "/read/a", name)[0])
+
+        thread = threading.Thread(target=send_others)
+        thread.start()
+        try:
+            for kind in ENDLESS:
+                started = time.monotonic()
+                status, *_ = self.request(vm, f"/read/{kind}", f"id-{kind}")
+                self.assertEqual(502, status, kind)
+                self.assertLess(time.monotonic() - started, 2.5, kind)
+        finally:
+            stopping.set()
+            thread.join()
+        self.assertEqual({200}, set(others))
+        # Requests and responses may take an eighth of 200 MB each, and a
+        # message exists up to three times.
+        self.assertLess(self.resident_mb() - before, 75)
+
+    def test_requests_take_two_hops_and_a_node_shuts_down_gracefully(self):
+        vms = self.cluster.vms
+        self.wait_until_served()
         deep = vms["deep-0"]
         status, headers, body = self.request(deep, "/read/a", "id1")
         self.assertEqual(200, status)
