--- a/flamingosail/proxy/backendserver.py
+++ b/flamingosail/proxy/backendserver.py
@@ -116,10 +116,9 @@
 
     ``pool`` is its ServerPool. ``size`` counts the bytes that arrived since
     the request was sent, ``bodiless_bytes`` those since the last piece of a
-    body or the end of a response.
-    While a response is parsed, ``surplus_input`` says that bytes arrived which
-    do not belong to it, and ``has_length`` that its end is known without the
-    close of the connection.
+    body or the end of a response. While a response is parsed,
+    ``surplus_input`` says that bytes arrived which do not belong to it, and
+    ``has_length`` that its end is known without the close of the connection.
     """
 
     def __init__(self, *, pool):
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -59,8 +59,8 @@
     ``last_pull`` the version and time of the last ConfigPull, and
     ``newer_version`` the newest version that a peer announced with the time of
     its first announcement. ``reaches_store`` is false if this node's last call
-    to the metadata store failed. Near peers are
-    in the failure domain of this node, far peers in others.
+    to the metadata store failed. Near peers are in the failure domain of this
+    node, far peers in others.
     """
 
     noisy = False
