Log the rate limit that a backend server states

The logs could not tell whether a limit that a server states in its answers is read, whether some requests pass by it, or whether it is forgotten by a restart. The gate now logs each change of the limit and counts what it sends to its server by kind. Nothing obeys the limit yet.

--- a/flamingosail/proxy/backendserver.py
+++ b/flamingosail/proxy/backendserver.py
@@ -1,10 +1,12 @@
 """Connections to the backend server of this VM, one request at a time."""
 
 from collections.abc import Callable
+from math import isfinite
 
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
 from httptools import HttpResponseParser
+from logbook import Logger
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 
@@ -25,16 +27,20 @@
 # parser joins the parts of a line again with each part that arrives, so that a
 # long line also costs processor time.
 MAX_HEADER_BYTES = 65_536
+LEAVING_VALUE = b"1"
 # Limit on all that arrives for one request; see also ``ServerPool``.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
+log = Logger("proxy.backendserver")
+
 
 class ServerResponse:
     """A complete response of the backend server.
 
     ``head`` holds the header lines to pass on; the other fields come from
     headers named in the ``Dialect``. ``signature`` is empty if the server did
-    not sign the response, ``instance`` is None if it did not name itself.
+    not sign the response, ``instance`` is None if it did not name itself, and
+    ``rate_limit`` (requests per second) is None if it did not state a limit.
     """
 
     __slots__ = (
@@ -44,6 +50,8 @@
         "signature",
         "not_executed",
         "instance",
+        "rate_limit",
+        "leaving",
     )
 
     def __init__(self, **fields):
@@ -146,6 +154,8 @@
         self.signature = b""
         self.not_executed = False
         self.instance = None
+        self.rate_limit: float | None = None
+        self.leaving = False
         self.keep_alive = False
 
     # Called by twisted.
@@ -236,6 +246,10 @@
         if lower == dialect.instance:
             self.instance = value
             return
+        if lower == dialect.rate_limit:
+            self.rate_limit = parse_rate(value)
+        elif lower == dialect.leaving:
+            self.leaving = value.strip() == LEAVING_VALUE
         self.head += (name, b": ", value, b"\r\n")
 
     def on_headers_complete(self):
@@ -310,6 +324,8 @@
             signature=self.signature,
             not_executed=self.not_executed,
             instance=self.instance,
+            rate_limit=self.rate_limit,
+            leaving=self.leaving,
         )
         unsent = getattr(self.transport, "dataBuffer", b"") or getattr(
             self.transport, "_tempDataBuffer", None
@@ -363,3 +379,16 @@
         if name.lower() == b"timeout" and number.isdigit():
             return max(0.0, int(number) - KEEP_ALIVE_MARGIN_SECONDS)
     return default
+
+
+def parse_rate(value: bytes) -> float | None:
+    """Return a rate in requests per second, None if it is not a number."""
+    try:
+        rate = float(value)
+    except ValueError:
+        log.warning("rate limit ignored", extra={"value": repr(value)})
+        return None
+    if not isfinite(rate) or rate < 0:
+        log.warning("rate limit ignored", extra={"value": repr(value)})
+        return None
+    return rate
--- a/flamingosail/proxy/dialect.py
+++ b/flamingosail/proxy/dialect.py
@@ -18,7 +18,9 @@
     In responses, ``not_executed`` is present if the server did not run the
     request, ``signature`` if a server made the response; ``instance`` names
     the server, and ``load`` holds the numbers of running requests, waiting
-    requests and slots, separated by commas.
+    requests and slots, separated by commas. ``rate_limit`` holds the requests
+    per second that the server accepts from all nodes together, and
+    ``leaving`` is present if the server is about to stop.
     """
 
     request_id: bytes
@@ -29,3 +31,5 @@
     signature: bytes
     load: bytes
     instance: bytes
+    rate_limit: bytes
+    leaving: bytes
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -78,8 +78,10 @@
     ``deregistrations`` maps an instance to the time when draining began and
     the latest start to which that applies. ``check`` is set while the gate of
     a restarted node has not confirmed that its server still serves.
-    ``queue`` is a heap ordered by rank, deadline and arrival, ``waiting`` the
-    number of its jobs that were neither cancelled nor timed out.
+    ``rate_limit`` is what the server stated in its last response, in requests
+    per second, None if nothing. ``queue`` is a heap ordered by rank, deadline
+    and arrival, ``waiting`` the number of its jobs that were neither cancelled
+    nor timed out.
     """
 
     def __init__(
@@ -115,6 +117,7 @@
         self.waiting = 0
         self.service_seconds = INITIAL_SERVICE_SECONDS
         self.check: ServerCheck | None = None
+        self.rate_limit: float | None = None
         self.timeouts = Timeouts(clock=clock, on_due=self.handle_timeout)
 
     # Server state.
@@ -319,6 +322,14 @@
             ),
         )
         self.timeouts.add(job.deadline + RESPONSE_GRACE_SECONDS, job)
+        self.metrics.count(
+            "server_requests",
+            "retry"
+            if job.is_retry
+            else "call"
+            if job.rank % 2 == 0
+            else "root",
+        )
         self.pool.send(request)
 
     def handle_end(
@@ -327,6 +338,8 @@
         """Handle the response to a request, or its failure if None."""
         now = self.clock.seconds()
         self.release_slot(job, now)
+        if response is not None and response.status != 421:
+            self.record_rate_limit(response)
         if response is None:
             if job.request.written:
                 self.fail(job, Outcome.LOST, reason)
@@ -365,6 +378,22 @@
             )
         self.dispatch_queued()
 
+    def record_rate_limit(self, response: ServerResponse):
+        """Store and log the rate limit that the server states."""
+        if response.rate_limit != self.rate_limit:
+            log.info(
+                "server limit",
+                extra={
+                    "instance": self.report and self.report.instance,
+                    "per_second": response.rate_limit,
+                    "before": self.rate_limit,
+                    "status": response.status,
+                    "running": len(self.running),
+                    "waiting": self.waiting,
+                },
+            )
+            self.rate_limit = response.rate_limit
+
     def record_speed(self, job: Job, seconds: float):
         """Compare the duration of a served request with the expected one.
 
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -177,6 +177,10 @@
             gate_waiting=lambda: self.gate.waiting,
             # The metric calls the capacity room.
             gate_room=lambda: self.gate.capacity,
+            # -1 while the server states no limit.
+            server_limit=lambda: (
+                -1 if self.gate.rate_limit is None else self.gate.rate_limit
+            ),
             client_connections=lambda: len(self.clients.connections),
             peers_reached=lambda: sum(
                 peer.connection is not None
--- a/tests/proxyfakes.py
+++ b/tests/proxyfakes.py
@@ -24,6 +24,8 @@
     signature=b"x-signature",
     load=b"x-load",
     instance=b"x-instance",
+    rate_limit=b"x-rate-limit",
+    leaving=b"x-leaving",
 )
 
 
@@ -133,5 +135,7 @@
         "signature": b"p",
         "not_executed": False,
         "instance": None,
+        "rate_limit": None,
+        "leaving": False,
     }
     return ServerResponse(**{**fields, **changes})
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -6,6 +6,7 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
+from flamingosail.proxy.backendserver import parse_rate
 from flamingosail.proxy.backendserver import ServerConnection
 from flamingosail.proxy.backendserver import ServerRequest
 from flamingosail.proxy.client import ClientListener
@@ -335,6 +336,24 @@
         self.assertEqual(None, self.ends[0][0])
         self.assertTrue(self.transport.aborted)
 
+    def test_a_server_states_its_rate_limit_and_that_it_leaves(self):
+        """Both are also passed on to the client."""
+        responses = []
+        self.connection.request.on_end = lambda request, response, reason: (
+            responses.append(response)
+        )
+        self.connection.dataReceived(
+            b"HTTP/1.1 200 OK\r\nx-id: b\r\nx-rate-limit: 11.8\r\n"
+            b"x-leaving: 1\r\nContent-Length: 0\r\n\r\n"
+        )
+        self.assertEqual(11.8, responses[0].rate_limit)
+        self.assertTrue(responses[0].leaving)
+        self.assertIn(b"x-rate-limit: 11.8\r\n", responses[0].head)
+
+    def test_a_rate_limit_that_is_no_rate_is_ignored(self):
+        for value in (b"", b"many", b"-1", b"nan", b"inf"):
+            self.assertIsNone(parse_rate(value))
+
     def test_an_abandoned_request_closes_its_connection(self):
         request = self.connection.request
         request.abandon()
