--- /dev/null
+++ b/tests/test_proxy_ratelimit.py
@@ -0,0 +1,118 @@
+"""Tests of what a backend server asks of its callers in its responses."""
+
+from testtools import TestCase
+from twisted.internet.testing import MemoryReactorClock
+
+from flamingosail.proxy.hop import Outcome
+from tests.proxyfakes import FakePool
+from tests.proxyfakes import make_gate
+from tests.proxyfakes import make_job
+from tests.proxyfakes import make_report
+from tests.proxyfakes import make_response
+
+LIMIT_PER_SECOND = 12.0
+# The platform tolerates this many times the limit, and this many more
+# requests, in each window, once the server has stated it for long enough.
+TOLERATED_RATIO = 1.5
+TOLERATED_REQUESTS = 5
+WINDOW_SECONDS = 4.0
+STABILITY_SECONDS = 3.0
+DRAIN_SECONDS = 2.0
+STEP_SECONDS = 0.01
+
+
+def most_in_window(times: list[float]) -> int:
+    """Return the largest number of times within WINDOW_SECONDS."""
+    return max(
+        (
+            sum(start <= time < start + WINDOW_SECONDS for time in times)
+            for start in times
+        ),
+        default=0,
+    )
+
+
+class LimitedServerCase(TestCase):
+    """A gate whose server answers each request after a fixed time."""
+
+    service_seconds = 0.25
+
+    def setUp(self):
+        super().setUp()
+        self.clock = MemoryReactorClock()
+        self.pool = FakePool()
+        self.gate = make_gate(self.clock, pool=self.pool)
+        self.gate.handle_report(make_report(slots=50))
+        self.addCleanup(self.gate.stop)
+        self.ends = []
+        self.sent_at = []
+        self.answers = {"rate_limit": None, "leaving": False}
+        self.answered = 0
+
+    def run_load(self, seconds: float, per_second: float):
+        """Submit requests at a rate and answer them in time."""
+        arrivals = 0.0
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.clock.advance(STEP_SECONDS)
+            now = self.clock.seconds()
+            arrivals += per_second * STEP_SECONDS
+            while arrivals >= 1:
+                arrivals -= 1
+                self.submit()
+            while len(self.sent_at) < len(self.pool.sent):
+                self.sent_at.append(now)
+            while (
+                self.answered < len(self.sent_at)
+                and self.sent_at[self.answered] + self.service_seconds <= now
+            ):
+                request = self.pool.sent[self.answered]
+                self.answered += 1
+                if not request.done:
+                    request.finish(make_response(**self.answers))
+
+    def submit(self, **changes):
+        number = len(self.ends) + len(self.gate.running) + self.gate.waiting
+        self.gate.submit(
+            make_job(
+                self.ends,
+                **{
+                    "request_id": b"%d.%f" % (number, self.clock.seconds()),
+                    "deadline": self.clock.seconds() + 1.0,
+                    **changes,
+                },
+            )
+        )
+
+    def sent_after(self, start: float) -> list[float]:
+        """Return the times of the requests sent from ``start`` on."""
+        return [time for time in self.sent_at if time >= start]
+
+
+class RateLimitTest(LimitedServerCase):
+    """Guards against overloading a server that states its rate limit."""
+
+    def test_a_server_gets_no_more_requests_than_its_stated_limit(self):
+        """It got all requests that found a free slot."""
+        self.run_load(2.0, 30.0)
+        self.answers["rate_limit"] = LIMIT_PER_SECOND
+        self.run_load(12.0, 30.0)
+        sent = self.sent_after(2.0 + STABILITY_SECONDS)
+        self.assertLessEqual(
+            most_in_window(sent),
+            TOLERATED_RATIO * LIMIT_PER_SECOND * WINDOW_SECONDS
+            + TOLERATED_REQUESTS,
+        )
+        self.assertGreater(len(sent), 0.9 * 9.0 * LIMIT_PER_SECOND)
+
+
+class LeavingServerTest(LimitedServerCase):
+    """Guards against requests to a server that said that it leaves."""
+
+    def test_a_server_that_leaves_gets_nothing_after_its_drain_time(self):
+        """Only what it reported to its node counted, not its responses."""
+        self.run_load(2.0, 30.0)
+        self.answers["leaving"] = True
+        self.run_load(6.0, 30.0)
+        first_answer = 2.0 + STEP_SECONDS
+        self.assertEqual([], self.sent_after(first_answer + DRAIN_SECONDS))
+        self.assertEqual(Outcome.REFUSED, self.ends[-1][1])
