Obey the rate limit that a backend server states

The cause: no node read the header; it was passed on like any other. Ruled out: requests that pass by the gate.

The gate has a token bucket for the stated rate. Requests that are not due wait in its queue, in order of rank and deadline as before, and requests that would wait longer than their time are refused as not run, so that their entry node sends them elsewhere. The capacity that the gate reports to other nodes becomes the rate times the mean time of a request, so that load balancing and admission count with what the server takes. A change of the limit is sent to all nodes at once.

--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -22,6 +22,7 @@
 from flamingosail.proxy.job import ServerReport
 from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.overload import LoadMeter
+from flamingosail.proxy.ratelimit import RateLimiter
 from flamingosail.proxy.servercheck import ServerCheck
 from flamingosail.proxy.serverpool import ServerPool
 from flamingosail.proxy.speed import SpeedMeter
@@ -53,6 +54,11 @@
 MAX_DEREGISTRATIONS = 64
 # Delay before new requests are sent to a server that refused a connection.
 RECONNECT_DELAY_SECONDS = 0.3
+# Queued requests under a rate limit are sent at most this often, those that
+# are due in between together.
+MIN_PACE_SECONDS = 0.01
+# Other nodes are told of a rate limit that changed by more than this share.
+ANNOUNCED_RATE_CHANGE = 0.1
 
 # Names of outcomes in the log and in the metric ``gate_ends``.
 OUTCOME_NAMES = {
@@ -78,10 +84,12 @@
     ``deregistrations`` maps an instance to the time when draining began and
     the latest start to which that applies. ``check`` is set while the gate of
     a restarted node has not confirmed that its server still serves.
-    ``rate_limit`` is what the server stated in its last response, in requests
-    per second, None if nothing. ``queue`` is a heap ordered by rank, deadline
-    and arrival, ``waiting`` the number of its jobs that were neither cancelled
-    nor timed out.
+    ``limiter`` holds the rate that the server stated in its last response,
+    ``announced_rate`` the one that was last logged and sent to other nodes,
+    and ``paced_dispatch`` is the timer that sends the next queued request
+    under that rate. ``queue`` is a heap ordered by rank, deadline and arrival,
+    ``waiting`` the number of its jobs that were neither cancelled nor timed
+    out.
     """
 
     def __init__(
@@ -117,7 +125,9 @@
         self.waiting = 0
         self.service_seconds = INITIAL_SERVICE_SECONDS
         self.check: ServerCheck | None = None
-        self.rate_limit: float | None = None
+        self.limiter = RateLimiter(clock=clock)
+        self.announced_rate: float | None = None
+        self.paced_dispatch = None
         self.timeouts = Timeouts(clock=clock, on_due=self.handle_timeout)
 
     # Server state.
@@ -174,6 +184,8 @@
             restarted or known.instance != report.instance
         ):
             self.speed.reset()
+            self.limiter.set_rate(None)
+            self.announced_rate = None
         if self.draining_since is None:
             self.draining_since = self.draining_start(report)
         if server_changed:
@@ -245,12 +257,40 @@
         )
 
     @property
-    def capacity(self) -> int:
-        """Requests that may run at a time; ``room`` in logs and metrics."""
+    def max_running(self) -> int:
+        """Requests that may run at a time."""
         if self.report is None:
             return 0
         return max(1, int(self.report.slots * USABLE_SLOT_FRACTION))
 
+    @property
+    def capacity(self) -> int:
+        """Slots that requests can use; ``room`` in logs and metrics.
+
+        Under a rate limit, the rate times the mean time of a request.
+        """
+        rate = self.limiter.effective_rate
+        if rate is None:
+            return self.max_running
+        return min(
+            self.max_running, max(1, round(rate * self.service_seconds))
+        )
+
+    def expected_wait(self) -> float:
+        """Return the seconds until one more queued request is sent."""
+        wait = (self.waiting + 1) * self.service_seconds / self.max_running
+        rate = self.limiter.effective_rate
+        if rate is not None:
+            wait = max(wait, (self.waiting + 1) / rate)
+        return wait
+
+    def can_dispatch(self) -> bool:
+        """Return whether the server may get a request now."""
+        return (
+            len(self.running) < self.max_running
+            and self.limiter.delay() <= 0.0
+        )
+
     # Requests.
 
     def submit(self, job: Job):
@@ -259,7 +299,7 @@
         if reason:
             self.fail(job, Outcome.REFUSED, reason)
             return
-        if len(self.running) < self.capacity:
+        if not self.waiting and self.can_dispatch():
             self.dispatch(job)
             return
         heappush(
@@ -267,6 +307,7 @@
         )
         self.waiting += 1
         self.timeouts.add(job.deadline - MIN_REMAINING_SECONDS, job)
+        self.schedule_dispatch()
 
     def refusal_reason(self, job: Job) -> str:
         """Return why a request is refused; empty if it is accepted."""
@@ -284,10 +325,10 @@
         remaining = job.deadline - self.clock.seconds()
         if remaining < MIN_REMAINING_SECONDS:
             return "too little time is left"
-        if len(self.running) >= self.capacity:
-            wait = (self.waiting + 1) * self.service_seconds / self.capacity
-            if wait > remaining - MIN_REMAINING_SECONDS:
-                return "the queue is too long"
+        if (
+            self.waiting or not self.can_dispatch()
+        ) and self.expected_wait() > remaining - MIN_REMAINING_SECONDS:
+            return "the queue is too long"
         return ""
 
     def dispatch(self, job: Job):
@@ -322,6 +363,7 @@
             ),
         )
         self.timeouts.add(job.deadline + RESPONSE_GRACE_SECONDS, job)
+        self.limiter.record_request()
         self.metrics.count(
             "server_requests",
             "retry"
@@ -339,7 +381,7 @@
         now = self.clock.seconds()
         self.release_slot(job, now)
         if response is not None and response.status != 421:
-            self.record_rate_limit(response)
+            self.apply_rate_limit(response)
         if response is None:
             if job.request.written:
                 self.fail(job, Outcome.LOST, reason)
@@ -378,21 +420,32 @@
             )
         self.dispatch_queued()
 
-    def record_rate_limit(self, response: ServerResponse):
-        """Store and log the rate limit that the server states."""
-        if response.rate_limit != self.rate_limit:
-            log.info(
-                "server limit",
-                extra={
-                    "instance": self.report and self.report.instance,
-                    "per_second": response.rate_limit,
-                    "before": self.rate_limit,
-                    "status": response.status,
-                    "running": len(self.running),
-                    "waiting": self.waiting,
-                },
-            )
-            self.rate_limit = response.rate_limit
+    def apply_rate_limit(self, response: ServerResponse):
+        """Obey the rate limit that the server states, if any.
+
+        Small changes are neither logged nor announced.
+        """
+        before, rate = self.announced_rate, response.rate_limit
+        self.limiter.set_rate(rate)
+        if rate == before or (
+            rate is not None
+            and before is not None
+            and abs(rate - before) <= ANNOUNCED_RATE_CHANGE * before
+        ):
+            return
+        self.announced_rate = rate
+        log.info(
+            "server limit",
+            extra={
+                "instance": self.report and self.report.instance,
+                "per_second": rate,
+                "before": before,
+                "status": response.status,
+                "running": len(self.running),
+                "waiting": self.waiting,
+            },
+        )
+        self.on_change()
 
     def record_speed(self, job: Job, seconds: float):
         """Compare the duration of a served request with the expected one.
@@ -417,12 +470,29 @@
             self.clock.callLater(RECONNECT_DELAY_SECONDS, self.on_change)
             self.on_change()
 
+    def schedule_dispatch(self):
+        """Dispatch queued requests when the rate limit permits the next."""
+        if self.paced_dispatch is None and self.limiter.rate is not None:
+            self.paced_dispatch = self.clock.callLater(
+                max(MIN_PACE_SECONDS, self.limiter.delay()),
+                self.dispatch_paced,
+            )
+
+    def dispatch_paced(self):
+        """Dispatch the queued requests that the rate limit permits now."""
+        self.paced_dispatch = None
+        self.dispatch_queued()
+
     def dispatch_queued(self):
-        """Dispatch queued requests in order while slots are free."""
-        while self.queue and len(self.running) < self.capacity:
-            job = heappop(self.queue)[3]
-            if job.done:
+        """Dispatch queued requests in order while the server may get some."""
+        while self.queue and len(self.running) < self.max_running:
+            if self.queue[0][3].done:
+                heappop(self.queue)
                 continue
+            if self.limiter.delay() > 0.0:
+                self.schedule_dispatch()
+                return
+            job = heappop(self.queue)[3]
             self.waiting -= 1
             if self.state == "absent":
                 self.fail(
@@ -490,6 +560,9 @@
             on_end(job, outcome, status, signature, head, body, reason)
 
     def stop(self):
-        """Cancel the timeouts and close idle connections."""
+        """Cancel the timers and close idle connections."""
         self.timeouts.stop()
+        if self.paced_dispatch is not None:
+            self.paced_dispatch.cancel()
+            self.paced_dispatch = None
         self.pool.close_idle()
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -179,7 +179,9 @@
             gate_room=lambda: self.gate.capacity,
             # -1 while the server states no limit.
             server_limit=lambda: (
-                -1 if self.gate.rate_limit is None else self.gate.rate_limit
+                -1
+                if self.gate.limiter.rate is None
+                else self.gate.limiter.rate
             ),
             client_connections=lambda: len(self.clients.connections),
             peers_reached=lambda: sum(
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -129,7 +129,7 @@
         """Ping or dial each peer and exchange load reports."""
         now = self.clock.seconds()
         self.own_report = self.load_report()
-        self.local.slowness = self.gate.speed.slowness()
+        self.local.refresh()
         for peer in list(self.peers.values()):
             peer.tick(now)
         self.on_reports(self.reports.all_reports(self.own_report))
