Stop sending to a server that says that it leaves

A server that leaves says so in its responses (header Server-Leaving, rule DRAIN). No node read it: only what the server reported to its own node counted, so that a server whose report was delayed or lost went on getting requests until it was gone.

The gate begins the drain time of a server with the first response that states it, as with its deregistration; a later report does not undo it, and a response of a former incarnation does not count. The status that the gate sends to all nodes now carries how much of the drain time is left, and load balancing passes over a server after it: a gate that was frozen in between does not know how much time has passed.

--- a/flamingosail/proxy/balance.py
+++ b/flamingosail/proxy/balance.py
@@ -123,7 +123,11 @@
         """Return the usable server with the lowest cost, and its cost."""
         best, best_cost = None, float("inf")
         for server in servers:
-            if not server.capacity or server in excluded:
+            if (
+                not server.capacity
+                or server.drain_deadline <= now
+                or server in excluded
+            ):
                 continue
             cost = self.cost(server, now)
             if cost < best_cost and server.usable:
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -256,6 +256,15 @@
             0.0, self.drain_seconds - DRAIN_MARGIN_SECONDS
         )
 
+    def drain_remaining_seconds(self) -> float | None:
+        """Return how long a draining server may still get requests.
+
+        Negative once that time has passed, None if it is not draining.
+        """
+        if self.draining_since is None:
+            return None
+        return self.drain_deadline() - self.clock.seconds()
+
     @property
     def max_running(self) -> int:
         """Requests that may run at a time."""
@@ -335,6 +344,7 @@
         """Send a request to the server."""
         now = self.clock.seconds()
         job.started = now
+        job.incarnation = self.report.incarnation
         self.running[job.request_id] = job
         remaining = job.deadline - now
         parts = [
@@ -380,8 +390,14 @@
         """Handle the response to a request, or its failure if None."""
         now = self.clock.seconds()
         self.release_slot(job, now)
-        if response is not None and response.status != 421:
+        if (
+            response is not None
+            and response.status != 421
+            and job.incarnation == self.report.incarnation
+        ):
             self.apply_rate_limit(response)
+            if response.leaving:
+                self.handle_deregistration(*job.incarnation)
         if response is None:
             if job.request.written:
                 self.fail(job, Outcome.LOST, reason)
--- a/flamingosail/proxy/hop.py
+++ b/flamingosail/proxy/hop.py
@@ -126,6 +126,8 @@
     the server may run at a time and ``cold_seconds`` how long it stays slow
     after its start. ``leaving`` says that the sending node is stopping; the
     log of the receiving node also calls this state ``leaving``.
+    ``drain_remaining_seconds`` is how long a draining server may still get
+    requests, None if it is not draining.
     """
 
     state: str
@@ -137,6 +139,7 @@
     cold_seconds: float
     leaving: bool
     config_version: int
+    drain_remaining_seconds: float | None = None
 
 
 class Pong(Struct, tag=6, array_like=True, gc=False):
--- a/flamingosail/proxy/job.py
+++ b/flamingosail/proxy/job.py
@@ -28,6 +28,11 @@
         for name, value in fields.items():
             setattr(self, name, value)
 
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """The instance and its start, which identify a server process."""
+        return self.instance, self.start_ms
+
 
 class Job:
     """A request that is queued or running at the gate.
@@ -35,7 +40,8 @@
     ``head`` holds the header lines without the request id; ``root_route``,
     ``rank`` and ``is_retry`` are described in ``hop.Call``. ``deadline`` and
     ``started`` are in the reactor's time. ``request`` is the ServerRequest,
-    None while the job is queued, and ``stream`` the number of the call on its
+    None while the job is queued, ``incarnation`` the instance and start of the
+    server that got it, and ``stream`` the number of the call on its
     connection, 0 for a call of this node. Child calls are the calls that the
     server makes for this request: ``child_call_failed`` is set when one
     failed, ``child_calls_succeeded`` counts the others. ``on_end`` is called
@@ -56,6 +62,7 @@
         "is_retry",
         "on_end",
         "request",
+        "incarnation",
         "started",
         "child_call_failed",
         "child_calls_succeeded",
@@ -91,6 +98,7 @@
         self.is_retry = is_retry
         self.on_end = on_end
         self.request = None
+        self.incarnation: tuple[str, int] | None = None
         self.started = 0.0
         self.child_call_failed = False
         self.child_calls_succeeded = 0
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -226,6 +226,7 @@
             cold_seconds=cold,
             leaving=self.stopping_since is not None,
             config_version=self.config_version(),
+            drain_remaining_seconds=gate.drain_remaining_seconds(),
         )
 
     def load_report(self) -> LoadReport:
--- a/flamingosail/proxy/peer.py
+++ b/flamingosail/proxy/peer.py
@@ -11,6 +11,7 @@
 from flamingosail.proxy.hopconnection import OutboundConnection
 from flamingosail.proxy.overload import LoadReport
 from flamingosail.proxy.overload import USAGE_SCALE
+from flamingosail.proxy.servers import drain_deadline
 from flamingosail.proxy.servers import RemoteServer
 from flamingosail.settings import Address
 
@@ -139,7 +140,11 @@
         self.state = "leaving" if status.leaving else status.state
         self.service = status.service
         self.instance = status.instance
-        self.cold_until = self.table.clock.seconds() + status.cold_seconds
+        now = self.table.clock.seconds()
+        self.cold_until = now + status.cold_seconds
+        self.drain_deadline = drain_deadline(
+            now, status.drain_remaining_seconds
+        )
         self.update_load(status.running, status.waiting, status.capacity)
         log.info(
             "peer state",
--- a/flamingosail/proxy/servers.py
+++ b/flamingosail/proxy/servers.py
@@ -1,14 +1,24 @@
 """Backend servers from the point of view of a node that calls them."""
 
+from math import inf
+
 from flamingosail.proxy.gate import Gate
 from flamingosail.proxy.job import Job
 
-__all__ = ["LocalServer", "RemoteServer"]
+__all__ = ["LocalServer", "RemoteServer", "drain_deadline"]
 
 # Weight of the newest call: about the last ten calls count.
 FAILURE_SMOOTHING = 0.1
 
 
+def drain_deadline(now: float, remaining_seconds: float | None) -> float:
+    """Return the time from which a server gets no requests.
+
+    ``remaining_seconds`` is None if the server is not draining.
+    """
+    return inf if remaining_seconds is None else now + remaining_seconds
+
+
 class RemoteServer:
     """A backend server that a node can call.
 
@@ -17,7 +27,8 @@
     ``failure_rate`` is the fraction of its recent calls that failed.
     ``cold_until`` is the reactor's time until which the server is slow
     because it has just started. ``slowness`` is the time that it takes for a
-    request, relative to the mean of its service.
+    request, relative to the mean of its service. From ``drain_deadline`` on it
+    gets no requests.
     """
 
     local = False
@@ -34,6 +45,7 @@
         self.failure_rate = 0.0
         self.cold_until = 0.0
         self.slowness = 1.0
+        self.drain_deadline = inf
         self.failure_domain = ""
 
     def update_load(self, running: int, waiting: int, capacity: int):
@@ -75,6 +87,9 @@
         self.state = self.gate.state
         self.capacity = self.gate.capacity
         self.slowness = self.gate.speed.slowness()
+        self.drain_deadline = drain_deadline(
+            self.gate.clock.seconds(), self.gate.drain_remaining_seconds()
+        )
         if report is not None:
             self.service = report.service
             self.instance = report.instance
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -1,9 +1,12 @@
 """Tests of the messages between nodes and of their cost."""
 
+from random import Random
+
 from testtools import TestCase
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock
 
+from flamingosail.proxy.balance import LoadBalancer
 from flamingosail.proxy.hop import Call
 from flamingosail.proxy.hop import ConfigPull
 from flamingosail.proxy.hop import DomainLoad
@@ -218,6 +221,30 @@
         servers = self.table.by_service["histbook"].same_domain
         self.assertEqual((8, 1), (len(servers), len(groupings)))
 
+    def test_a_draining_server_gets_nothing_after_its_time(self):
+        """Its gate may be frozen and not know how much time has passed."""
+        peer = self.connect("10.0.0.6", "fd-a")
+        self.receive(
+            peer,
+            Status("draining", "histbook", "i", 9, 0, 0, 0, False, 1, 1.3),
+        )
+        balancer = LoadBalancer(
+            clock=self.clock, random=Random(1), failure_domain="fd-a"
+        )
+        servers = self.table.by_service["histbook"]
+        self.clock.advance(1.2)
+        self.assertIs(peer, balancer.choose(servers))
+        self.clock.advance(0.2)
+        self.assertIsNone(balancer.choose(servers))
+
+    def test_a_status_of_an_earlier_release_is_understood(self):
+        status = Status("draining", "histbook", "i", 9, 0, 0, 0.0, False, 1)
+        frame = encode_frame(status)
+        # The former message ended with the configuration's version.
+        body = bytes([frame[4] - 1]) + frame[5:-1]
+        former = len(body).to_bytes(4, "big") + body
+        self.assertEqual([status], FrameBuffer().feed(former))
+
     def test_a_pong_of_an_earlier_release_is_understood(self):
         frame = encode_frame(Pong(1, 2, 3, 4))
         # The former message ended with the configuration's version.
--- a/tests/test_proxy_ratelimit.py
+++ b/tests/test_proxy_ratelimit.py
@@ -116,3 +116,22 @@
         first_answer = 2.0 + STEP_SECONDS
         self.assertEqual([], self.sent_after(first_answer + DRAIN_SECONDS))
         self.assertEqual(Outcome.REFUSED, self.ends[-1][1])
+
+    def test_a_later_report_does_not_undo_that_it_leaves(self):
+        self.answers["leaving"] = True
+        self.run_load(1.0, 30.0)
+        self.gate.handle_report(make_report(slots=50, sequence=2))
+        self.assertEqual("draining", self.gate.state)
+
+    def test_the_successor_of_a_server_that_leaves_is_used(self):
+        """A response of the former server arrives after its successor's."""
+        self.submit()
+        self.gate.handle_report(make_report(start_ms=2000))
+        self.pool.sent[0].finish(make_response(leaving=True, rate_limit=1.0))
+        self.assertEqual("ready", self.gate.state)
+        self.assertIsNone(self.gate.limiter.rate)
+
+    def test_the_server_that_has_taken_over_the_address_does_not_count(self):
+        self.submit()
+        self.pool.sent[0].finish(make_response(status=421, leaving=True))
+        self.assertEqual("ready", self.gate.state)
