Move what is known of the server out of the gate

ServerState holds the reports of the server, its draining, its rate limit and its speed, and is what other nodes are told. The gate keeps the queue and the requests. The tests follow the attributes; no behaviour changes, but the log line 'server limit' no longer has the queue's length.

--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -19,13 +19,10 @@
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.hop import Outcome
 from flamingosail.proxy.job import Job
-from flamingosail.proxy.job import ServerReport
 from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.overload import LoadMeter
-from flamingosail.proxy.ratelimit import RateLimiter
-from flamingosail.proxy.servercheck import ServerCheck
 from flamingosail.proxy.serverpool import ServerPool
-from flamingosail.proxy.speed import SpeedMeter
+from flamingosail.proxy.serverstate import ServerState
 from flamingosail.proxy.timeouts import Timeouts
 
 __all__ = ["CHILD_CALL_FAILED", "Gate"]
@@ -33,9 +30,6 @@
 # Less time than this does not cover a round trip to the server and the
 # shortest work.
 MIN_REMAINING_SECONDS = 0.004
-# A draining server gets no requests in the last part of its drain time, since
-# a request still has to reach it.
-DRAIN_MARGIN_SECONDS = 0.7
 # The server responds by the deadline in the request; this long after it the
 # connection is closed.
 RESPONSE_GRACE_SECONDS = 0.2
@@ -49,16 +43,9 @@
 # Methods that get a Content-Length of 0 with an empty body (RFC 9110,
 # section 8.6).
 BODY_METHODS = (b"PATCH ", b"POST ", b"PUT ")
-# Enough for the deregistered servers of one VM of which a delayed report may
-# still arrive.
-MAX_DEREGISTRATIONS = 64
-# Delay before new requests are sent to a server that refused a connection.
-RECONNECT_DELAY_SECONDS = 0.3
 # Queued requests under a rate limit are sent at most this often, those that
 # are due in between together.
 MIN_PACE_SECONDS = 0.01
-# Other nodes are told of a rate limit that changed by more than this share.
-ANNOUNCED_RATE_CHANGE = 0.1
 
 # Names of outcomes in the log and in the metric ``gate_ends``.
 OUTCOME_NAMES = {
@@ -77,200 +64,48 @@
 class Gate:
     """Admits, queues and dispatches requests to one backend server.
 
-    ``drain_seconds`` is the time after a deregistration in which the server
-    may still get requests. ``on_change`` is called without arguments when the
-    state of the server changes. ``expected_seconds`` returns the mean time of
-    the calls of a root route at a service, None if it is not known.
-    ``deregistrations`` maps an instance to the time when draining began and
-    the latest start to which that applies. ``check`` is set while the gate of
-    a restarted node has not confirmed that its server still serves.
-    ``limiter`` holds the rate that the server stated in its last response,
-    ``announced_rate`` the one that was last logged and sent to other nodes,
-    and ``paced_dispatch`` is the timer that sends the next queued request
-    under that rate. ``queue`` is a heap ordered by rank, deadline and arrival,
+    ``server`` holds what is known of the server. ``expected_seconds`` returns
+    the mean time of the calls of a root route at a service, None if it is not
+    known. ``queue`` is a heap ordered by rank, deadline and arrival,
     ``waiting`` the number of its jobs that were neither cancelled nor timed
-    out.
+    out, and ``paced_dispatch`` the timer that sends the next of them under a
+    rate limit of the server.
     """
 
     def __init__(
         self,
         *,
         clock: IReactorTime,
+        server: ServerState,
         pool: ServerPool,
         dialect: Dialect,
         meter: LoadMeter,
         metrics: NodeMetrics,
-        drain_seconds: float,
-        on_change: Callable,
         expected_seconds: Callable[[int, str], float | None],
     ):
         self.clock = clock
+        self.server = server
         self.expected_seconds = expected_seconds
-        self.speed = SpeedMeter(clock=clock)
         self.pool = pool
         self.dialect = dialect
         self.meter = meter
         self.metrics = metrics
         self.decisions = DecisionLog(clock=clock, channel="proxy.gate")
-        self.drain_seconds = drain_seconds
-        self.on_change = on_change
-        self.report: ServerReport | None = None
-        self.draining_since: float | None = None
-        self.deregistrations: dict[str, tuple[float, int]] = {}
         self.closed = False
-        self.down_until = 0.0
         self.running: dict[bytes, Job] = {}
         self.queue: list = []
         self.arrivals = count()
         self.waiting = 0
         self.service_seconds = INITIAL_SERVICE_SECONDS
-        self.check: ServerCheck | None = None
-        self.limiter = RateLimiter(clock=clock)
-        self.announced_rate: float | None = None
         self.paced_dispatch = None
         self.timeouts = Timeouts(clock=clock, on_due=self.handle_timeout)
 
-    # Server state.
-
-    def handle_report(self, report: ServerReport):
-        """Update the server's state unless the report is old or repeated.
-
-        After a restart of the node, the first report is checked before it
-        counts.
-        """
-        if self.check is None:
-            self.accept_report(report)
-        elif report.state == "ready":
-            self.check.check(report)
-        else:
-            # The former process may have acknowledged the draining long ago.
-            self.accept_leaving(report)
-
-    def report_confirmed(self, report: ServerReport):
-        """Accept a checked report."""
-        self.check = None
-        self.accept_report(report)
-
-    def accept_leaving(self, report: ServerReport):
-        """Accept the report of a server whose drain time may have passed."""
-        self.check = None
-        self.deregistrations[report.instance] = (
-            self.clock.seconds() - self.drain_seconds,
-            report.start_ms,
-        )
-        self.accept_report(report)
-
-    def accept_report(self, report: ServerReport):
-        """Update the server's state unless the report is old or repeated."""
-        known = self.report
-        if known is not None and (report.start_ms, report.sequence) <= (
-            known.start_ms,
-            known.sequence,
-        ):
-            return
-        restarted = known is not None and report.start_ms != known.start_ms
-        server_changed = (
-            known is None
-            or restarted
-            or known.instance != report.instance
-            or known.state != report.state
-            or self.down_until
-        )
-        self.report = report
-        self.down_until = 0.0
-        if restarted:
-            self.draining_since = None
-        if known is not None and (
-            restarted or known.instance != report.instance
-        ):
-            self.speed.reset()
-            self.limiter.set_rate(None)
-            self.announced_rate = None
-        if self.draining_since is None:
-            self.draining_since = self.draining_start(report)
-        if server_changed:
-            log.info(
-                "server reported",
-                extra={
-                    "instance": report.instance,
-                    "service": report.service,
-                    "state": self.state,
-                    "born": report.start_ms,  # the log's name for the start
-                    "sequence": report.sequence,
-                    "slots": report.slots,
-                },
-            )
-            self.on_change()
-
-    def draining_start(self, report: ServerReport) -> float | None:
-        """Return when the reported server began to drain, None if it did not.
-
-        A delayed report may arrive after the deregistration, even at a node
-        that has just started and has no report yet.
-        """
-        deregistration = self.deregistrations.get(report.instance)
-        if deregistration is not None:
-            since, last_start_ms = deregistration
-            if report.start_ms <= last_start_ms:
-                return since
-            del self.deregistrations[report.instance]
-        return self.clock.seconds() if report.state == "draining" else None
-
-    def handle_deregistration(self, instance: str, last_start_ms: int):
-        """Drain a server that will stop or has stopped.
-
-        Applies to starts of the instance up to ``last_start_ms``, in Unix
-        milliseconds.
-        """
-        now = self.clock.seconds()
-        known = self.report
-        while len(self.deregistrations) >= MAX_DEREGISTRATIONS:
-            del self.deregistrations[next(iter(self.deregistrations))]
-        since, _ = self.deregistrations.pop(instance, (now, 0))
-        self.deregistrations[instance] = (since, last_start_ms)
-        if (
-            known is not None
-            and known.instance == instance
-            and known.start_ms <= last_start_ms
-            and self.draining_since is None
-        ):
-            self.draining_since = now
-            log.info("server leaves", extra={"instance": instance})
-            self.on_change()
-
-    @property
-    def state(self) -> str:
-        """The state of the server: ready, draining or absent."""
-        if self.report is None:
-            return "absent"
-        now = self.clock.seconds()
-        if self.draining_since is not None:
-            if now >= self.drain_deadline():
-                return "absent"
-            return "draining"
-        return "ready" if now >= self.down_until else "absent"
-
-    def drain_deadline(self) -> float:
-        """Return until when a draining server may get requests."""
-        return self.draining_since + max(
-            0.0, self.drain_seconds - DRAIN_MARGIN_SECONDS
-        )
-
-    def drain_remaining_seconds(self) -> float | None:
-        """Return how long a draining server may still get requests.
-
-        Negative once that time has passed, None if it is not draining.
-        """
-        if self.draining_since is None:
-            return None
-        return self.drain_deadline() - self.clock.seconds()
-
     @property
     def max_running(self) -> int:
         """Requests that may run at a time."""
-        if self.report is None:
+        if self.server.report is None:
             return 0
-        return max(1, int(self.report.slots * USABLE_SLOT_FRACTION))
+        return max(1, int(self.server.report.slots * USABLE_SLOT_FRACTION))
 
     @property
     def capacity(self) -> int:
@@ -278,7 +113,7 @@
 
         Under a rate limit, the rate times the mean time of a request.
         """
-        rate = self.limiter.effective_rate
+        rate = self.server.limiter.effective_rate
         if rate is None:
             return self.max_running
         return min(
@@ -288,7 +123,7 @@
     def expected_wait(self) -> float:
         """Return the seconds until one more queued request is sent."""
         wait = (self.waiting + 1) * self.service_seconds / self.max_running
-        rate = self.limiter.effective_rate
+        rate = self.server.limiter.effective_rate
         if rate is not None:
             wait = max(wait, (self.waiting + 1) / rate)
         return wait
@@ -297,7 +132,7 @@
         """Return whether the server may get a request now."""
         return (
             len(self.running) < self.max_running
-            and self.limiter.delay() <= 0.0
+            and self.server.limiter.delay() <= 0.0
         )
 
     # Requests.
@@ -320,7 +155,7 @@
 
     def refusal_reason(self, job: Job) -> str:
         """Return why a request is refused; empty if it is accepted."""
-        report = self.report
+        report = self.server.report
         if report is None:
             return "no server is known"
         if self.closed:
@@ -329,7 +164,7 @@
             return "a request with this id is running"
         if report.service != job.service:
             return "the server belongs to another service"
-        if self.state == "absent":
+        if self.server.state == "absent":
             return "the server is leaving or down"
         remaining = job.deadline - self.clock.seconds()
         if remaining < MIN_REMAINING_SECONDS:
@@ -344,7 +179,7 @@
         """Send a request to the server."""
         now = self.clock.seconds()
         job.started = now
-        job.incarnation = self.report.incarnation
+        job.incarnation = self.server.report.incarnation
         self.running[job.request_id] = job
         remaining = job.deadline - now
         parts = [
@@ -357,7 +192,7 @@
                 self.dialect.deadline,
                 max(1, int(remaining * 1000)),
                 self.dialect.expected_instance,
-                self.report.instance.encode("latin-1", "replace"),
+                self.server.report.instance.encode("latin-1", "replace"),
             ),
         ]
         if job.body or job.request_line.startswith(BODY_METHODS):
@@ -373,7 +208,7 @@
             ),
         )
         self.timeouts.add(job.deadline + RESPONSE_GRACE_SECONDS, job)
-        self.limiter.record_request()
+        self.server.limiter.record_request()
         self.metrics.count(
             "server_requests",
             "retry"
@@ -390,19 +225,13 @@
         """Handle the response to a request, or its failure if None."""
         now = self.clock.seconds()
         self.release_slot(job, now)
-        if (
-            response is not None
-            and response.status != 421
-            and job.incarnation == self.report.incarnation
-        ):
-            self.apply_rate_limit(response)
-            if response.leaving:
-                self.handle_deregistration(*job.incarnation)
+        if response is not None:
+            self.server.handle_response(job.incarnation, response)
         if response is None:
             if job.request.written:
                 self.fail(job, Outcome.LOST, reason)
             else:
-                self.connect_failed(now)
+                self.server.connect_failed()
                 self.fail(job, Outcome.REFUSED, reason)
         elif response.not_executed:
             self.fail(job, Outcome.SHED, "the server refused the request")
@@ -410,7 +239,8 @@
             log.warning(
                 "another server has the address",
                 extra={
-                    "expected": self.report and self.report.instance,
+                    "expected": self.server.report
+                    and self.server.report.instance,
                     "answered": response.instance,
                 },
             )
@@ -436,33 +266,6 @@
             )
         self.dispatch_queued()
 
-    def apply_rate_limit(self, response: ServerResponse):
-        """Obey the rate limit that the server states, if any.
-
-        Small changes are neither logged nor announced.
-        """
-        before, rate = self.announced_rate, response.rate_limit
-        self.limiter.set_rate(rate)
-        if rate == before or (
-            rate is not None
-            and before is not None
-            and abs(rate - before) <= ANNOUNCED_RATE_CHANGE * before
-        ):
-            return
-        self.announced_rate = rate
-        log.info(
-            "server limit",
-            extra={
-                "instance": self.report and self.report.instance,
-                "per_second": rate,
-                "before": before,
-                "status": response.status,
-                "running": len(self.running),
-                "waiting": self.waiting,
-            },
-        )
-        self.on_change()
-
     def record_speed(self, job: Job, seconds: float):
         """Compare the duration of a served request with the expected one.
 
@@ -470,7 +273,7 @@
         """
         expected = self.expected_seconds(job.root_route, job.service)
         if expected:
-            self.speed.record(seconds, expected)
+            self.server.speed.record(seconds, expected)
 
     def release_slot(self, job: Job, now: float):
         """Free the slot of a request and record how long it was in use."""
@@ -478,19 +281,14 @@
             del self.running[job.request_id]
         self.meter.record_call(job.root_route, now - job.started)
 
-    def connect_failed(self, now: float):
-        """Pause dispatching after a refused connection."""
-        if now >= self.down_until:
-            log.warning("server takes no connection")
-            self.down_until = now + RECONNECT_DELAY_SECONDS
-            self.clock.callLater(RECONNECT_DELAY_SECONDS, self.on_change)
-            self.on_change()
-
     def schedule_dispatch(self):
         """Dispatch queued requests when the rate limit permits the next."""
-        if self.paced_dispatch is None and self.limiter.rate is not None:
+        if (
+            self.paced_dispatch is None
+            and self.server.limiter.rate is not None
+        ):
             self.paced_dispatch = self.clock.callLater(
-                max(MIN_PACE_SECONDS, self.limiter.delay()),
+                max(MIN_PACE_SECONDS, self.server.limiter.delay()),
                 self.dispatch_paced,
             )
 
@@ -505,12 +303,12 @@
             if self.queue[0][3].done:
                 heappop(self.queue)
                 continue
-            if self.limiter.delay() > 0.0:
+            if self.server.limiter.delay() > 0.0:
                 self.schedule_dispatch()
                 return
             job = heappop(self.queue)[3]
             self.waiting -= 1
-            if self.state == "absent":
+            if self.server.state == "absent":
                 self.fail(
                     job, Outcome.REFUSED, "the server is leaving or down"
                 )
@@ -558,8 +356,10 @@
                 "request": job.request_id.decode("latin-1"),
                 "outcome": OUTCOME_NAMES[outcome],
                 "reason": reason,
-                "instance": self.report.instance if self.report else "",
-                "server_state": self.state,
+                "instance": self.server.report.instance
+                if self.server.report
+                else "",
+                "server_state": self.server.state,
                 "running": len(self.running),
                 "waiting": self.waiting,
                 "room": self.capacity,
--- a/flamingosail/proxy/hopconnection.py
+++ b/flamingosail/proxy/hopconnection.py
@@ -128,7 +128,7 @@
                     gate.capacity,
                     self.table.config_version(),
                     self.table.reaches_store,
-                    round(100 * gate.speed.slowness()),
+                    round(100 * gate.server.speed.slowness()),
                 )
             )
             self.table.pull_newer_config(message.config_version, self)
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -24,6 +24,7 @@
 from flamingosail.proxy.servercheck import ServerCheck
 from flamingosail.proxy.serverpool import ServerPool
 from flamingosail.proxy.servers import LocalServer
+from flamingosail.proxy.serverstate import ServerState
 from flamingosail.settings import Address
 
 __all__ = ["NodeConfig", "ProxyNode"]
@@ -109,8 +110,11 @@
                 max_buffered_bytes=buffer_limit,
             ),
             dialect=dialect,
-            drain_seconds=config.drain_seconds,
-            on_change=self.broadcast_status,
+            server=ServerState(
+                clock=reactor,
+                drain_seconds=config.drain_seconds,
+                on_change=self.broadcast_status,
+            ),
             expected_seconds=lambda root_route, service: (
                 self.forwarder.admission.call_seconds.get(
                     (root_route, service)
@@ -118,11 +122,11 @@
             ),
         )
         if not config.first_start:
-            self.gate.check = ServerCheck(
+            self.gate.server.check = ServerCheck(
                 clock=reactor,
                 pool=self.gate.pool,
                 health_path=self.health_path,
-                on_confirmed=self.gate.report_confirmed,
+                on_confirmed=self.gate.server.report_confirmed,
             )
         self.local = LocalServer(
             gate=self.gate, failure_domain=config.failure_domain
@@ -180,8 +184,8 @@
             # -1 while the server states no limit.
             server_limit=lambda: (
                 -1
-                if self.gate.limiter.rate is None
-                else self.gate.limiter.rate
+                if self.gate.server.limiter.rate is None
+                else self.gate.server.limiter.rate
             ),
             client_connections=lambda: len(self.clients.connections),
             peers_reached=lambda: sum(
@@ -190,7 +194,7 @@
             ),
             config_version=self.config_version,
             store_reader=lambda: int(self.peers.was_store_reader),
-            server_slowness=self.gate.speed.slowness,
+            server_slowness=self.gate.server.speed.slowness,
             buffered_request_bytes=lambda: self.clients.buffered_body_bytes,
             buffered_response_bytes=lambda: self.gate.pool.buffered_bytes,
             server_connects=lambda: self.gate.pool.connect_count,
@@ -212,12 +216,12 @@
     def status(self) -> Status:
         """Return the state of the server beside this node."""
         gate = self.gate
-        report = gate.report
+        report = gate.server.report
         cold = 0.0
         if report is not None:
             cold = max(0.0, report.cold_until - self.reactor.seconds())
         return Status(
-            state=gate.state,
+            state=gate.server.state,
             service=report.service if report else self.config.service,
             instance=report.instance if report else "",
             capacity=gate.capacity,
@@ -226,13 +230,13 @@
             cold_seconds=cold,
             leaving=self.stopping_since is not None,
             config_version=self.config_version(),
-            drain_remaining_seconds=gate.drain_remaining_seconds(),
+            drain_remaining_seconds=gate.server.drain_remaining_seconds(),
         )
 
     def load_report(self) -> LoadReport:
         """Return the load of this node and its backend server."""
         gate = self.gate
-        usable = gate.state == "ready" and self.stopping_since is None
+        usable = gate.server.state == "ready" and self.stopping_since is None
         capacity = gate.capacity if usable else 0
         return self.meter.report(self.config.service, capacity, gate.waiting)
 
@@ -283,8 +287,8 @@
         self.route_table = route_table
         self.document = document
         self.forwarder.set_route_table(route_table)
-        if self.gate.check is not None:
-            self.gate.check.ask()
+        if self.gate.server.check is not None:
+            self.gate.server.check.ask()
         if from_store:
             self.peers.announce_config()
 
--- a/flamingosail/proxy/servers.py
+++ b/flamingosail/proxy/servers.py
@@ -83,12 +83,13 @@
 
     def refresh(self):
         """Copy the state of the gate."""
-        report = self.gate.report
-        self.state = self.gate.state
+        report = self.gate.server.report
+        self.state = self.gate.server.state
         self.capacity = self.gate.capacity
-        self.slowness = self.gate.speed.slowness()
+        self.slowness = self.gate.server.speed.slowness()
         self.drain_deadline = drain_deadline(
-            self.gate.clock.seconds(), self.gate.drain_remaining_seconds()
+            self.gate.clock.seconds(),
+            self.gate.server.drain_remaining_seconds(),
         )
         if report is not None:
             self.service = report.service
--- a/tests/proxyfakes.py
+++ b/tests/proxyfakes.py
@@ -14,6 +14,7 @@
 from flamingosail.proxy.overload import LoadMeter
 from flamingosail.proxy.routes import Route
 from flamingosail.proxy.routes import WeightedService
+from flamingosail.proxy.serverstate import ServerState
 
 DIALECT = Dialect(
     request_id=b"x-id",
@@ -88,8 +89,11 @@
         dialect=DIALECT,
         meter=LoadMeter(clock=clock),
         metrics=NodeMetrics(),
-        drain_seconds=2.0,
-        on_change=on_change or (lambda: None),
+        server=ServerState(
+            clock=clock,
+            drain_seconds=2.0,
+            on_change=on_change or (lambda: None),
+        ),
         expected_seconds=lambda root_route, service: 0.1,
     )
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -251,7 +251,7 @@
 
     def test_a_heartbeat_makes_the_server_known(self):
         self.assertEqual(200, self.send_heartbeat())
-        self.assertEqual("ready", self.node.gate.state)
+        self.assertEqual("ready", self.node.gate.server.state)
         self.assertEqual("i-1", self.node.status().instance)
 
     def test_invalid_heartbeats_are_rejected_and_change_nothing(self):
@@ -274,18 +274,18 @@
         self.assertEqual(
             400, self.send_heartbeat(instance="i-2%0d%0aHost:%20other")
         )
-        self.assertEqual("i-1", self.node.gate.report.instance)
+        self.assertEqual("i-1", self.node.gate.server.report.instance)
 
     def test_a_deregistration_before_the_first_heartbeat_counts(self):
         path = "/v1/Instances.Deregister/i-1"
         self.assertEqual(200, self.post(path, {"born": 1000}))
         self.send_heartbeat()
-        self.assertEqual("draining", self.node.gate.state)
+        self.assertEqual("draining", self.node.gate.server.state)
 
     def test_deregistration_of_an_earlier_start_is_ignored(self):
         self.send_heartbeat(born=2000)
         self.post("/v1/Instances.Deregister/i-1", {"born": 1000})
-        self.assertEqual("ready", self.node.gate.state)
+        self.assertEqual("ready", self.node.gate.server.state)
 
     def test_a_node_is_ready_once_it_has_a_configuration(self):
         connection = FakeConnection()
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -23,11 +23,11 @@
         self.pool = FakePool()
         self.gate = make_gate(self.clock, pool=self.pool)
         self.path = "/health"
-        self.gate.check = ServerCheck(
+        self.gate.server.check = ServerCheck(
             clock=self.clock,
             pool=self.pool,
             health_path=lambda service: self.path,
-            on_confirmed=self.gate.report_confirmed,
+            on_confirmed=self.gate.server.report_confirmed,
         )
 
     def answer(self, status: int, **changes):
@@ -37,74 +37,74 @@
 
     def test_a_delayed_report_of_a_server_that_left_is_not_trusted(self):
         """The former process had acknowledged that it leaves."""
-        self.gate.handle_report(make_report())
-        self.assertEqual("absent", self.gate.state)
+        self.gate.server.handle_report(make_report())
+        self.assertEqual("absent", self.gate.server.state)
         self.answer(503)
-        self.assertEqual("absent", self.gate.state)
+        self.assertEqual("absent", self.gate.server.state)
         # Several delayed reports arrive together.
-        self.gate.handle_report(make_report(sequence=2))
+        self.gate.server.handle_report(make_report(sequence=2))
         self.answer(503)
-        self.assertEqual("absent", self.gate.state)
+        self.assertEqual("absent", self.gate.server.state)
 
     def test_a_server_that_reports_again_is_used(self):
         """Its health endpoint may be wrong."""
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         self.answer(503)
         self.clock.advance(1.5)
-        self.gate.handle_report(make_report(sequence=2))
-        self.assertEqual("ready", self.gate.state)
+        self.gate.server.handle_report(make_report(sequence=2))
+        self.assertEqual("ready", self.gate.server.state)
 
     def test_a_repeated_report_confirms_nothing(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         self.clock.advance(1.5)
-        self.gate.handle_report(make_report())
-        self.assertEqual("absent", self.gate.state)
+        self.gate.server.handle_report(make_report())
+        self.assertEqual("absent", self.gate.server.state)
 
     def test_a_delayed_report_of_a_server_that_ended_is_not_trusted(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         self.pool.sent[-1].finish(None, "connecting failed")
-        self.assertEqual("absent", self.gate.state)
+        self.assertEqual("absent", self.gate.server.state)
 
     def test_another_server_at_the_address_does_not_confirm_it(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         self.answer(200, instance=b"i-2")
-        self.assertEqual("absent", self.gate.state)
+        self.assertEqual("absent", self.gate.server.state)
 
     def test_a_server_that_serves_is_used_at_once(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         self.answer(200, instance=b"i-1")
-        self.assertEqual("ready", self.gate.state)
-        self.gate.handle_report(make_report(sequence=2))
+        self.assertEqual("ready", self.gate.server.state)
+        self.gate.server.handle_report(make_report(sequence=2))
         self.assertEqual(1, len(self.pool.sent))
 
     def test_a_full_server_is_used(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         self.answer(503, not_executed=True)
-        self.assertEqual("ready", self.gate.state)
+        self.assertEqual("ready", self.gate.server.state)
 
     def test_a_check_waits_for_the_configuration(self):
         self.path = None
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         self.assertEqual([], self.pool.sent)
         self.path = ""
-        self.gate.check.ask()
-        self.assertEqual("ready", self.gate.state)
+        self.gate.server.check.ask()
+        self.assertEqual("ready", self.gate.server.state)
 
     def test_a_server_that_drains_already_gets_nothing(self):
         """Its drain time began with the former process."""
-        self.gate.handle_report(make_report(state="draining"))
-        self.assertEqual("absent", self.gate.state)
+        self.gate.server.handle_report(make_report(state="draining"))
+        self.assertEqual("absent", self.gate.server.state)
 
     def test_the_next_start_of_a_server_that_left_is_used(self):
-        self.gate.handle_report(make_report(state="draining"))
-        self.gate.handle_report(make_report(start_ms=2000))
-        self.assertEqual("ready", self.gate.state)
+        self.gate.server.handle_report(make_report(state="draining"))
+        self.gate.server.handle_report(make_report(start_ms=2000))
+        self.assertEqual("ready", self.gate.server.state)
 
     def test_a_deregistration_during_the_check_counts(self):
-        self.gate.handle_report(make_report())
-        self.gate.handle_deregistration("i-1", 1000)
+        self.gate.server.handle_report(make_report())
+        self.gate.server.handle_deregistration("i-1", 1000)
         self.answer(200)
-        self.assertEqual("draining", self.gate.state)
+        self.assertEqual("draining", self.gate.server.state)
 
 
 class GateTest(TestCase):
@@ -131,12 +131,12 @@
         self.assertEqual([], self.pool.sent)
 
     def test_a_request_for_another_service_is_refused(self):
-        self.gate.handle_report(make_report(service="gatekeeper"))
+        self.gate.server.handle_report(make_report(service="gatekeeper"))
         self.submit()
         self.assertEqual([(b"a", Outcome.REFUSED)], self.outcomes())
 
     def test_the_server_gets_the_remaining_time_and_its_own_id(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         self.clock.advance(0.25)
         self.submit()
         data = self.pool.sent[0].data
@@ -145,7 +145,7 @@
         self.assertIn(b"x-id: a\r\n", data)
 
     def test_requests_of_lower_rank_leave_the_queue_first(self):
-        self.gate.handle_report(make_report(slots=1))
+        self.gate.server.handle_report(make_report(slots=1))
         self.submit(request_id=b"running")
         self.submit(request_id=b"late", rank=5)
         self.submit(request_id=b"call", rank=0)
@@ -153,7 +153,7 @@
         self.assertEqual(b"call", self.pool.sent[1].request_id)
 
     def test_a_request_that_waits_too_long_did_not_run(self):
-        self.gate.handle_report(make_report(slots=1))
+        self.gate.server.handle_report(make_report(slots=1))
         self.submit(request_id=b"running", deadline=9.0)
         self.submit(request_id=b"waits", deadline=0.5)
         self.clock.pump([0.05] * 12)
@@ -161,67 +161,75 @@
         self.assertEqual(1, len(self.pool.sent))
 
     def test_a_connection_lost_after_sending_may_have_run(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         self.submit()
         self.pool.sent[0].finish(None, "reset")
         self.assertEqual([(b"a", Outcome.LOST)], self.outcomes())
 
     def test_no_connection_means_not_run(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         self.submit()
         self.pool.sent[0].written = False
         self.pool.sent[0].finish(None, "refused")
         self.assertEqual([(b"a", Outcome.REFUSED)], self.outcomes())
-        self.assertEqual("absent", self.gate.state)
+        self.assertEqual("absent", self.gate.server.state)
 
     def test_a_success_without_signature_is_not_passed_on(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         self.submit()
         self.pool.sent[0].finish(make_response(signature=b""))
         self.assertEqual([(b"a", Outcome.LOST)], self.outcomes())
 
     def test_a_draining_server_gets_nothing_after_the_drain_time(self):
-        self.gate.handle_report(make_report())
-        self.gate.handle_report(make_report(sequence=2, state="draining"))
+        self.gate.server.handle_report(make_report())
+        self.gate.server.handle_report(
+            make_report(sequence=2, state="draining")
+        )
         self.clock.advance(1.5)
         self.submit(deadline=9.0)
         self.assertEqual([(b"a", Outcome.REFUSED)], self.outcomes())
 
     def test_queued_requests_are_refused_after_the_drain_time(self):
-        self.gate.handle_report(make_report(slots=1))
+        self.gate.server.handle_report(make_report(slots=1))
         self.submit(request_id=b"running", deadline=9.0)
         self.submit(request_id=b"waits", deadline=9.0)
-        self.gate.handle_report(make_report(sequence=2, state="draining"))
+        self.gate.server.handle_report(
+            make_report(sequence=2, state="draining")
+        )
         self.clock.advance(1.5)
         self.pool.sent[0].finish(make_response())
         self.assertIn((b"waits", Outcome.REFUSED), self.outcomes())
 
     def test_a_delayed_report_does_not_undo_a_deregistration(self):
         """A restarted node knows no server when the deregistration arrives."""
-        self.gate.handle_deregistration("i-1", 1000)
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_deregistration("i-1", 1000)
+        self.gate.server.handle_report(make_report())
         self.clock.advance(1.5)
         self.submit(deadline=9.0)
         self.assertEqual([(b"a", Outcome.REFUSED)], self.outcomes())
 
     def test_a_server_restarted_under_its_id_is_used(self):
-        self.gate.handle_deregistration("i-1", 1000)
-        self.gate.handle_report(make_report(start_ms=2000))
+        self.gate.server.handle_deregistration("i-1", 1000)
+        self.gate.server.handle_report(make_report(start_ms=2000))
         self.submit()
         self.assertEqual(1, len(self.pool.sent))
 
     def test_an_older_report_is_ignored(self):
-        self.gate.handle_report(make_report(sequence=5, state="draining"))
-        self.gate.handle_report(make_report(sequence=4))
-        self.assertEqual("draining", self.gate.state)
+        self.gate.server.handle_report(
+            make_report(sequence=5, state="draining")
+        )
+        self.gate.server.handle_report(make_report(sequence=4))
+        self.assertEqual("draining", self.gate.server.state)
 
     def test_a_report_of_an_earlier_start_is_ignored(self):
-        self.gate.handle_report(make_report(instance="i-2", start_ms=2000))
-        self.gate.handle_report(make_report(sequence=99))
-        self.assertEqual("i-2", self.gate.report.instance)
+        self.gate.server.handle_report(
+            make_report(instance="i-2", start_ms=2000)
+        )
+        self.gate.server.handle_report(make_report(sequence=99))
+        self.assertEqual("i-2", self.gate.server.report.instance)
 
     def test_cancelling_aborts_idempotent_requests_only(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         read = self.submit(request_id=b"read")
         order = self.submit(request_id=b"order", idempotent=False)
         self.gate.cancel(read)
@@ -230,20 +238,20 @@
         self.assertFalse(self.pool.sent[1].done)
 
     def test_a_duplicate_id_does_not_run_concurrently(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         self.submit()
         self.submit()
         self.assertEqual(1, len(self.pool.sent))
 
     def test_slots_are_free_again_after_a_cancel(self):
-        self.gate.handle_report(make_report(slots=1))
+        self.gate.server.handle_report(make_report(slots=1))
         first = self.submit(request_id=b"first")
         self.submit(request_id=b"second")
         self.gate.cancel(first)
         self.assertEqual(b"second", self.pool.sent[-1].request_id)
 
     def test_a_silent_server_ends_as_lost_after_the_deadline(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         self.submit(deadline=0.5)
         self.clock.pump([0.1] * 9)
         self.assertEqual([(b"a", Outcome.LOST)], self.outcomes())
@@ -251,7 +259,7 @@
 
     def test_an_ended_request_is_released_before_its_deadline(self):
         """Ended requests stayed in memory until the garbage collection."""
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         gc.collect()
         gc.disable()
         self.addCleanup(gc.enable)
@@ -268,20 +276,22 @@
         self.assertEqual(0, gc.collect())
 
     def test_a_slow_server_is_known_as_slow_and_its_successor_not(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         for _ in range(20):
             self.submit(deadline=self.clock.seconds() + 1.0)
             self.clock.advance(0.3)  # three times the expected time
             self.pool.sent[-1].finish(make_response())
-        self.assertGreater(self.gate.speed.slowness(), 2.0)
+        self.assertGreater(self.gate.server.speed.slowness(), 2.0)
         self.clock.advance(60.0)
-        self.assertAlmostEqual(1.0, self.gate.speed.slowness(), places=2)
-        self.gate.speed.record(9.0, 1.0)
-        self.gate.handle_report(make_report(start_ms=2000))
-        self.assertEqual(1.0, self.gate.speed.slowness())
+        self.assertAlmostEqual(
+            1.0, self.gate.server.speed.slowness(), places=2
+        )
+        self.gate.server.speed.record(9.0, 1.0)
+        self.gate.server.handle_report(make_report(start_ms=2000))
+        self.assertEqual(1.0, self.gate.server.speed.slowness())
 
     def test_failures_do_not_make_a_server_look_fast(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         for changes in (
             {"status": 500},
             {"status": 503, "not_executed": True},
@@ -290,10 +300,10 @@
             for _ in range(20):
                 self.submit(deadline=self.clock.seconds() + 1.0)
                 self.pool.sent[-1].finish(make_response(**changes))
-        self.assertEqual(1.0, self.gate.speed.slowness())
+        self.assertEqual(1.0, self.gate.server.speed.slowness())
 
     def test_a_stopping_node_refuses_new_requests(self):
-        self.gate.handle_report(make_report())
+        self.gate.server.handle_report(make_report())
         self.gate.closed = True
         self.submit()
         self.assertEqual([(b"a", Outcome.REFUSED)], self.outcomes())
--- a/tests/test_proxy_ratelimit.py
+++ b/tests/test_proxy_ratelimit.py
@@ -42,7 +42,7 @@
         self.clock = MemoryReactorClock()
         self.pool = FakePool()
         self.gate = make_gate(self.clock, pool=self.pool)
-        self.gate.handle_report(make_report(slots=50))
+        self.gate.server.handle_report(make_report(slots=50))
         self.addCleanup(self.gate.stop)
         self.ends = []
         self.sent_at = []
@@ -120,18 +120,18 @@
     def test_a_later_report_does_not_undo_that_it_leaves(self):
         self.answers["leaving"] = True
         self.run_load(1.0, 30.0)
-        self.gate.handle_report(make_report(slots=50, sequence=2))
-        self.assertEqual("draining", self.gate.state)
+        self.gate.server.handle_report(make_report(slots=50, sequence=2))
+        self.assertEqual("draining", self.gate.server.state)
 
     def test_the_successor_of_a_server_that_leaves_is_used(self):
         """A response of the former server arrives after its successor's."""
         self.submit()
-        self.gate.handle_report(make_report(start_ms=2000))
+        self.gate.server.handle_report(make_report(start_ms=2000))
         self.pool.sent[0].finish(make_response(leaving=True, rate_limit=1.0))
-        self.assertEqual("ready", self.gate.state)
-        self.assertIsNone(self.gate.limiter.rate)
+        self.assertEqual("ready", self.gate.server.state)
+        self.assertIsNone(self.gate.server.limiter.rate)
 
     def test_the_server_that_has_taken_over_the_address_does_not_count(self):
         self.submit()
         self.pool.sent[0].finish(make_response(status=421, leaving=True))
-        self.assertEqual("ready", self.gate.state)
+        self.assertEqual("ready", self.gate.server.state)
