Tell a restarted node what its server has asked of its callers

The gate alone knew the rate limit of its server and when it began to leave. After a restart of its node it sent up to all slots before the first response stated the limit again, and a server that states in its responses that it leaves, but reports itself ready, would have been used again for as long as it answers. The nodes that had passed these responses on are bound by them still.

A gate now sends the terms of its server (process, limit, rest of the drain time) in its status. Other nodes keep the last ones, and a node that connects returns them in its first message, before its calls. A recalled limit counts until the server has answered a request; a recalled drain time counts for that process of the server. After a restart, the response of the server's health endpoint is read for the same two headers. Both fields are at the end of their messages, which earlier releases ignore.

--- a/flamingosail/proxy/hop.py
+++ b/flamingosail/proxy/hop.py
@@ -31,6 +31,7 @@
     "Ping",
     "Pong",
     "Reply",
+    "ServerTerms",
     "Status",
     "encode_frame",
 ]
@@ -119,6 +120,21 @@
     report: LoadReport | None
 
 
+class ServerTerms(Struct, array_like=True, gc=False):
+    """What a backend server has asked of its callers.
+
+    ``instance`` and ``start_ms`` identify the server process. ``rate_limit``
+    is in requests per second, None if it stated none.
+    ``drain_remaining_seconds`` is how long it may still get requests before it
+    stops, negative once that time has passed, None if it does not stop.
+    """
+
+    instance: str
+    start_ms: int
+    rate_limit: float | None
+    drain_remaining_seconds: float | None
+
+
 class Status(Struct, tag=5, array_like=True, gc=False):
     """The state of the sender's backend server.
 
@@ -126,8 +142,7 @@
     the server may run at a time and ``cold_seconds`` how long it stays slow
     after its start. ``leaving`` says that the sending node is stopping; the
     log of the receiving node also calls this state ``leaving``.
-    ``drain_remaining_seconds`` is how long a draining server may still get
-    requests, None if it is not draining.
+    ``terms`` is None if no server is known.
     """
 
     state: str
@@ -139,7 +154,7 @@
     cold_seconds: float
     leaving: bool
     config_version: int
-    drain_remaining_seconds: float | None = None
+    terms: ServerTerms | None = None
 
 
 class Pong(Struct, tag=6, array_like=True, gc=False):
@@ -159,11 +174,16 @@
 
 
 class Hello(Struct, tag=7, array_like=True, gc=False):
-    """The first message in both directions; identifies the sender."""
+    """The first message in both directions; identifies the sender.
+
+    ``terms`` are those that the receiver last announced for its own server,
+    None if it announced none: the receiver may have restarted since.
+    """
 
     node: str
     failure_domain: str
     address: str
+    terms: ServerTerms | None = None
 
 
 class ConfigPull(Struct, tag=8, array_like=True, gc=False):
--- a/flamingosail/proxy/hopconnection.py
+++ b/flamingosail/proxy/hopconnection.py
@@ -1,6 +1,7 @@
 """Protocols for the two ends of a connection between nodes."""
 
 from logbook import Logger
+from msgspec.structs import replace
 from twisted.internet.protocol import Protocol
 
 from flamingosail.errors import CodecError
@@ -54,7 +55,11 @@
         self.open = True
         disable_nagle(self.transport)
         detect_dead_peer(self.transport)
-        self.send(self.table.hello())
+        self.send(self.hello())
+
+    def hello(self) -> Hello:
+        """Return the first message."""
+        return self.table.hello()
 
     def send(self, message):
         """Send a message if the connection is open."""
@@ -143,6 +148,8 @@
         elif kind is Hello:
             self.peer_address = message.address
             self.failure_domain = message.failure_domain
+            if message.terms is not None:
+                self.table.gate.server.recall(message.terms)
             self.table.handle_hello(message)
         elif kind is ConfigPull:
             self.table.send_config(self, message.version)
@@ -218,6 +225,10 @@
         super().connectionMade()
         self.peer.connected(self)
 
+    def hello(self) -> Hello:
+        """Return the first message; it precedes all calls."""
+        return replace(super().hello(), terms=self.peer.remembered_terms())
+
     def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
         """End the pending calls; they may have run."""
         self.open = False
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -127,6 +127,7 @@
                 pool=self.gate.pool,
                 health_path=self.health_path,
                 on_confirmed=self.gate.server.report_confirmed,
+                on_leaving=self.gate.server.accept_leaving,
             )
         self.local = LocalServer(
             gate=self.gate, failure_domain=config.failure_domain
@@ -230,7 +231,7 @@
             cold_seconds=cold,
             leaving=self.stopping_since is not None,
             config_version=self.config_version(),
-            drain_remaining_seconds=gate.server.drain_remaining_seconds(),
+            terms=gate.server.terms(),
         )
 
     def load_report(self) -> LoadReport:
--- a/flamingosail/proxy/peer.py
+++ b/flamingosail/proxy/peer.py
@@ -3,10 +3,12 @@
 from itertools import count
 
 from logbook import Logger
+from msgspec.structs import replace
 from twisted.internet.protocol import ClientFactory
 
 from flamingosail.proxy.hop import Cancel
 from flamingosail.proxy.hop import Hello
+from flamingosail.proxy.hop import ServerTerms
 from flamingosail.proxy.hop import Status
 from flamingosail.proxy.hopconnection import OutboundConnection
 from flamingosail.proxy.overload import LoadReport
@@ -56,7 +58,8 @@
     """A node of another VM and the backend server beside it.
 
     ``table`` is the PeerTable of this node. A peer is ``near`` if it is in
-    the same failure domain. Times are the reactor's.
+    the same failure domain. ``terms`` are the last ones that it announced for
+    its server, at ``terms_at``. Times are the reactor's.
     """
 
     def __init__(self, *, table, address: Address):
@@ -73,6 +76,8 @@
         self.reaches_store = True
         self.last_call_at = 0.0
         self.load_updated_at = 0.0
+        self.terms: ServerTerms | None = None
+        self.terms_at = 0.0
 
     def update_load(self, running: int, waiting: int, capacity: int):
         """Store the load that the gate reported."""
@@ -128,6 +133,20 @@
             self.table.servers_changed()
             log.info("peer lost", extra={"peer": str(self.address)})
 
+    def remembered_terms(self) -> ServerTerms | None:
+        """Return the terms of the peer's server as of now.
+
+        A node that restarts has forgotten them.
+        """
+        terms = self.terms
+        if terms is None or terms.drain_remaining_seconds is None:
+            return terms
+        elapsed = self.table.clock.seconds() - self.terms_at
+        return replace(
+            terms,
+            drain_remaining_seconds=terms.drain_remaining_seconds - elapsed,
+        )
+
     def handle_hello(self, hello: Hello):
         """Store the name and the failure domain of the node."""
         self.node = hello.node
@@ -142,9 +161,11 @@
         self.instance = status.instance
         now = self.table.clock.seconds()
         self.cold_until = now + status.cold_seconds
-        self.drain_deadline = drain_deadline(
-            now, status.drain_remaining_seconds
-        )
+        if status.terms is not None:
+            self.terms, self.terms_at = status.terms, now
+            self.drain_deadline = drain_deadline(
+                now, status.terms.drain_remaining_seconds
+            )
         self.update_load(status.running, status.waiting, status.capacity)
         log.info(
             "peer state",
--- a/flamingosail/proxy/servercheck.py
+++ b/flamingosail/proxy/servercheck.py
@@ -30,8 +30,10 @@
 
     ``health_path`` returns the path of a service's health endpoint: empty if
     the service has none, None if that is not known yet. ``on_confirmed`` is
-    called with the report of a server that serves. ``first_order`` is the
-    start and sequence of the first report, ``first_at`` its arrival.
+    called with the report of a server that serves and with the response that
+    confirmed it, if any, ``on_leaving`` with that of a server whose response
+    says that it leaves. ``first_order`` is the start and sequence of the first
+    report, ``first_at`` its arrival.
     """
 
     def __init__(
@@ -40,12 +42,14 @@
         clock: IReactorTime,
         pool: ServerPool,
         health_path: Callable[[str], str | None],
-        on_confirmed: Callable[[ServerReport], None],
+        on_confirmed: Callable[[ServerReport, ServerResponse | None], None],
+        on_leaving: Callable[[ServerReport], None],
     ):
         self.clock = clock
         self.pool = pool
         self.health_path = health_path
         self.on_confirmed = on_confirmed
+        self.on_leaving = on_leaving
         self.report: ServerReport | None = None
         self.request: ServerRequest | None = None
         self.first_order: tuple[int, int] | None = None
@@ -66,13 +70,15 @@
         else:
             self.ask()
 
-    def confirm(self, report: ServerReport):
+    def confirm(
+        self, report: ServerReport, response: ServerResponse | None = None
+    ):
         """End the check."""
         self.report = None
         if self.request is not None:
             self.request.abandon()
             self.request = None
-        self.on_confirmed(report)
+        self.on_confirmed(report, response)
 
     def ask(self):
         """Ask the server, if a report waits for its answer."""
@@ -116,7 +122,9 @@
             },
         )
         if serves:
-            self.confirm(report)
+            self.confirm(report, response)
+        elif response is not None and is_leaving(report, response):
+            self.on_leaving(report)
 
 
 def is_serving(report: ServerReport, response: ServerResponse) -> bool:
@@ -125,9 +133,19 @@
     A server without a free slot rejects the check like any other request; it
     is serving.
     """
-    if response.not_executed:
-        return True
-    instance = response.instance
-    return response.status == 200 and (
-        instance is None or instance.decode("latin-1") == report.instance
+    if response.leaving:
+        return False
+    return response.not_executed or (
+        response.status == 200 and names_instance(report, response)
     )
+
+
+def is_leaving(report: ServerReport, response: ServerResponse) -> bool:
+    """Return whether a response says that the reported server leaves."""
+    return response.leaving and names_instance(report, response)
+
+
+def names_instance(report: ServerReport, response: ServerResponse) -> bool:
+    """Return whether a response names no other instance."""
+    instance = response.instance
+    return instance is None or instance.decode("latin-1") == report.instance
--- a/flamingosail/proxy/serverstate.py
+++ b/flamingosail/proxy/serverstate.py
@@ -10,6 +10,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from flamingosail.proxy.backendserver import ServerResponse
+from flamingosail.proxy.hop import ServerTerms
 from flamingosail.proxy.job import ServerReport
 from flamingosail.proxy.ratelimit import RateLimiter
 from flamingosail.proxy.servercheck import ServerCheck
@@ -23,6 +24,8 @@
 # Enough for the deregistered servers of one VM of which a delayed report may
 # still arrive.
 MAX_DEREGISTRATIONS = 64
+# Other nodes recall the terms of the present server and perhaps a former one.
+MAX_RECALLED_RATES = 8
 # Delay before new requests are sent to a server that refused a connection.
 RECONNECT_DELAY_SECONDS = 0.3
 # Other nodes are told of a rate limit that changed by more than this share.
@@ -41,6 +44,9 @@
     set while a restarted node has not confirmed that its server still serves.
     ``limiter`` holds the rate that the server stated in its last response and
     ``announced_rate`` the one that was last logged and sent to other nodes.
+    ``recalled_rates`` are limits by server process that other nodes know from
+    before a restart of this node, and ``responded`` says that the server has
+    answered a request since.
     """
 
     def __init__(
@@ -61,6 +67,8 @@
         self.speed = SpeedMeter(clock=clock)
         self.limiter = RateLimiter(clock=clock)
         self.announced_rate: float | None = None
+        self.recalled_rates: dict[tuple[str, int], float] = {}
+        self.responded = False
 
     # Reports.
 
@@ -78,9 +86,17 @@
             # The former process may have acknowledged the draining long ago.
             self.accept_leaving(report)
 
-    def report_confirmed(self, report: ServerReport):
-        """Accept a checked report."""
+    def report_confirmed(
+        self, report: ServerReport, response: ServerResponse | None
+    ):
+        """Accept a checked report.
+
+        ``response`` is that of the server's health endpoint, None if the
+        report was confirmed without it.
+        """
         self.check = None
+        if response is not None and response.rate_limit is not None:
+            self.recalled_rates[report.incarnation] = response.rate_limit
         self.accept_report(report)
 
     def accept_leaving(self, report: ServerReport):
@@ -118,6 +134,8 @@
             self.speed.reset()
             self.limiter.set_rate(None)
             self.announced_rate = None
+            self.responded = False
+        self.apply_recalled_rate()
         if self.draining_since is None:
             self.draining_since = self.draining_start(report)
         if server_changed:
@@ -154,22 +172,53 @@
         Applies to starts of the instance up to ``last_start_ms``, in Unix
         milliseconds.
         """
-        now = self.clock.seconds()
-        known = self.report
+        self.drain(instance, last_start_ms, since=self.clock.seconds())
+
+    def drain(self, instance: str, last_start_ms: int, *, since: float):
+        """Drain a server that has been draining from ``since`` on."""
         while len(self.deregistrations) >= MAX_DEREGISTRATIONS:
             del self.deregistrations[next(iter(self.deregistrations))]
-        since, _ = self.deregistrations.pop(instance, (now, 0))
+        known_since, _ = self.deregistrations.pop(instance, (since, 0))
+        since = min(since, known_since)
         self.deregistrations[instance] = (since, last_start_ms)
+        report = self.report
         if (
-            known is not None
-            and known.instance == instance
-            and known.start_ms <= last_start_ms
-            and self.draining_since is None
+            report is not None
+            and report.instance == instance
+            and report.start_ms <= last_start_ms
+            and (self.draining_since is None or since < self.draining_since)
         ):
-            self.draining_since = now
+            self.draining_since = since
             log.info("server leaves", extra={"instance": instance})
             self.on_change()
 
+    # What other nodes know from before a restart of this node.
+
+    def recall(self, terms: ServerTerms):
+        """Obey terms that this node announced before a restart.
+
+        A rate limit counts until the server has answered a request.
+        """
+        incarnation = terms.instance, terms.start_ms
+        remaining = terms.drain_remaining_seconds
+        if remaining is not None:
+            now = self.clock.seconds()
+            since = min(now, now + remaining - self.drain_limit())
+            self.drain(*incarnation, since=since)
+        if terms.rate_limit is not None and not self.responded:
+            while len(self.recalled_rates) >= MAX_RECALLED_RATES:
+                del self.recalled_rates[next(iter(self.recalled_rates))]
+            self.recalled_rates[incarnation] = terms.rate_limit
+            self.apply_recalled_rate()
+
+    def apply_recalled_rate(self):
+        """Use the recalled rate limit of the reported server, if any."""
+        if self.report is None or self.responded:
+            return
+        rate = self.recalled_rates.get(self.report.incarnation)
+        if rate is not None:
+            self.apply_rate_limit(rate, source="peer")
+
     # Responses.
 
     def handle_response(
@@ -181,17 +230,18 @@
         """
         if response.status == 421 or incarnation != self.report.incarnation:
             return
-        self.apply_rate_limit(response)
+        self.responded = True
+        self.apply_rate_limit(response.rate_limit, source="server")
         if response.leaving:
             self.handle_deregistration(*incarnation)
 
-    def apply_rate_limit(self, response: ServerResponse):
-        """Obey the rate limit that the server states, if any.
+    def apply_rate_limit(self, rate: float | None, *, source: str):
+        """Use a rate limit, or none.
 
         Small changes are neither logged nor announced.
         """
-        before, rate = self.announced_rate, response.rate_limit
         self.limiter.set_rate(rate)
+        before = self.announced_rate
         if rate == before or (
             rate is not None
             and before is not None
@@ -205,7 +255,7 @@
                 "instance": self.report.instance,
                 "per_second": rate,
                 "before": before,
-                "status": response.status,
+                "source": source,
             },
         )
         self.on_change()
@@ -235,8 +285,22 @@
 
     def drain_deadline(self) -> float:
         """Return until when a draining server may get requests."""
-        return self.draining_since + max(
-            0.0, self.drain_seconds - DRAIN_MARGIN_SECONDS
+        return self.draining_since + self.drain_limit()
+
+    def drain_limit(self) -> float:
+        """Return how long a server may get requests once it drains."""
+        return max(0.0, self.drain_seconds - DRAIN_MARGIN_SECONDS)
+
+    def terms(self) -> ServerTerms | None:
+        """Return what the server has asked of its callers."""
+        report = self.report
+        if report is None:
+            return None
+        return ServerTerms(
+            report.instance,
+            report.start_ms,
+            self.limiter.rate,
+            self.drain_remaining_seconds(),
         )
 
     def drain_remaining_seconds(self) -> float | None:
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -28,6 +28,7 @@
             pool=self.pool,
             health_path=lambda service: self.path,
             on_confirmed=self.gate.server.report_confirmed,
+            on_leaving=self.gate.server.accept_leaving,
         )
 
     def answer(self, status: int, **changes):
@@ -77,6 +78,19 @@
         self.gate.server.handle_report(make_report(sequence=2))
         self.assertEqual(1, len(self.pool.sent))
 
+    def test_a_server_whose_response_says_that_it_leaves_is_not_used(self):
+        """Another report would confirm it otherwise."""
+        self.gate.server.handle_report(make_report())
+        self.answer(503, not_executed=True, leaving=True)
+        self.clock.advance(1.5)
+        self.gate.server.handle_report(make_report(sequence=2))
+        self.assertEqual("absent", self.gate.server.state)
+
+    def test_the_limit_of_the_health_endpoint_counts(self):
+        self.gate.server.handle_report(make_report())
+        self.answer(200, rate_limit=12.0)
+        self.assertEqual(12.0, self.gate.server.limiter.rate)
+
     def test_a_full_server_is_used(self):
         self.gate.server.handle_report(make_report())
         self.answer(503, not_executed=True)
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -15,6 +15,7 @@
 from flamingosail.proxy.hop import Hello
 from flamingosail.proxy.hop import Ping
 from flamingosail.proxy.hop import Pong
+from flamingosail.proxy.hop import ServerTerms
 from flamingosail.proxy.hop import Status
 from flamingosail.proxy.loadreports import aggregate_by_service
 from flamingosail.proxy.loadreports import LoadReports
@@ -27,6 +28,7 @@
 from flamingosail.settings import Address
 from tests.proxyfakes import ClosingTransport
 from tests.proxyfakes import make_gate
+from tests.proxyfakes import make_report
 
 OWN = Address("10.0.0.5", 80)
 CALL = {
@@ -226,7 +228,18 @@
         peer = self.connect("10.0.0.6", "fd-a")
         self.receive(
             peer,
-            Status("draining", "histbook", "i", 9, 0, 0, 0, False, 1, 1.3),
+            Status(
+                "draining",
+                "histbook",
+                "i",
+                9,
+                0,
+                0,
+                0,
+                False,
+                1,
+                ServerTerms("i", 1000, None, 1.3),
+            ),
         )
         balancer = LoadBalancer(
             clock=self.clock, random=Random(1), failure_domain="fd-a"
@@ -237,6 +250,37 @@
         self.clock.advance(0.2)
         self.assertIsNone(balancer.choose(servers))
 
+    def test_a_peer_that_restarts_is_told_the_terms_of_its_server(self):
+        """It has forgotten them; its server may not state them again."""
+        peer = self.connect("10.0.0.6", "fd-a")
+        terms = ServerTerms("i", 1000, 12.0, 1.5)
+        status = Status(
+            "draining", "histbook", "i", 9, 0, 0, 0, False, 1, terms
+        )
+        self.receive(peer, status)
+        peer.connection.connectionLost()
+        self.clock.advance(1.0)
+        peer = self.connect("10.0.0.6", "fd-a")
+        (hello,) = self.pop_sent(peer, Hello)
+        self.assertEqual(ServerTerms("i", 1000, 12.0, 0.5), hello.terms)
+        # The peer knows no server yet.
+        status = Status("absent", "histbook", "", 0, 0, 0, 0, False, 1)
+        self.receive(peer, status)
+        peer.connection.connectionLost()
+        peer = self.connect("10.0.0.6", "fd-a")
+        (hello,) = self.pop_sent(peer, Hello)
+        self.assertEqual(12.0, hello.terms.rate_limit)
+
+    def test_recalled_terms_reach_the_gate(self):
+        inbound = self.table.buildProtocol(None)
+        inbound.makeConnection(ClosingTransport())
+        terms = ServerTerms("i-1", 1000, 12.0, None)
+        hello = Hello("peer", "fd-a", "10.0.0.6:80", terms)
+        inbound.dataReceived(encode_frame(hello))
+        server = self.table.gate.server
+        server.handle_report(make_report())
+        self.assertEqual(12.0, server.limiter.rate)
+
     def test_a_status_of_an_earlier_release_is_understood(self):
         status = Status("draining", "histbook", "i", 9, 0, 0, 0.0, False, 1)
         frame = encode_frame(status)
--- a/tests/test_proxy_ratelimit.py
+++ b/tests/test_proxy_ratelimit.py
@@ -4,6 +4,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from flamingosail.proxy.hop import Outcome
+from flamingosail.proxy.hop import ServerTerms
 from tests.proxyfakes import FakePool
 from tests.proxyfakes import make_gate
 from tests.proxyfakes import make_job
@@ -105,6 +106,58 @@
         self.assertGreater(len(sent), 0.9 * 9.0 * LIMIT_PER_SECOND)
 
 
+class RestartTest(LimitedServerCase):
+    """Guards against a gate that forgets the terms of its server.
+
+    The nodes that passed them on to their clients are still bound by them.
+    """
+
+    def restart(self, terms: ServerTerms):
+        """Replace the gate; another node connects before its requests."""
+        self.pool = FakePool()
+        self.gate = make_gate(self.clock, pool=self.pool)
+        self.addCleanup(self.gate.stop)
+        self.gate.server.recall(terms)
+
+    def report(self, **changes):
+        self.gate.server.handle_report(make_report(slots=50, **changes))
+
+    def test_a_limit_holds_from_the_first_request_after_a_restart(self):
+        """The server got as many requests as it has slots."""
+        self.restart(ServerTerms("i-1", 1000, LIMIT_PER_SECOND, None))
+        self.report()
+        self.service_seconds = 2.0
+        self.run_load(1.0, 30.0)
+        self.assertLessEqual(len(self.sent_at), LIMIT_PER_SECOND + 1)
+
+    def test_what_the_server_says_itself_takes_precedence(self):
+        self.restart(ServerTerms("i-1", 1000, LIMIT_PER_SECOND, None))
+        self.report()
+        self.run_load(1.0, 30.0)
+        self.assertIsNone(self.gate.server.limiter.rate)
+        self.gate.server.recall(ServerTerms("i-1", 1000, 1.0, None))
+        self.assertIsNone(self.gate.server.limiter.rate)
+
+    def test_another_start_of_the_server_has_no_limit(self):
+        self.restart(ServerTerms("i-1", 1000, LIMIT_PER_SECOND, -1.0))
+        self.report(start_ms=2000)
+        self.assertIsNone(self.gate.server.limiter.rate)
+        self.assertEqual("ready", self.gate.server.state)
+
+    def test_a_leaving_server_gets_nothing_after_a_restart(self):
+        self.restart(ServerTerms("i-1", 1000, None, -0.5))
+        self.report()
+        self.submit()
+        self.assertEqual([], self.pool.sent)
+
+    def test_a_leaving_server_is_drained_for_the_rest_of_its_time(self):
+        self.restart(ServerTerms("i-1", 1000, None, 0.5))
+        self.report()
+        self.assertEqual("draining", self.gate.server.state)
+        self.clock.advance(0.6)
+        self.assertEqual("absent", self.gate.server.state)
+
+
 class LeavingServerTest(LimitedServerCase):
     """Guards against requests to a server that said that it leaves."""
 
