Require that a refusal of a server names its request

A request that was refused and sent again on the same connection has the same id, so the repeated refusal was taken for the answer to it: callers were told that a request which the server was running had not run (REFUSED), or it was sent to a second server (TWICE). A refusal without a request id was taken for one of whatever request was under way.

A connection now remembers which requests were refused on it; these are not sent on it again, and after 32 refusals it is closed. A refusal or a 421 without the id of the request is no promise, and neither is a 408, 421, 429 or 503 of a server that does not say that it did not run the request: the request is lost (502, or a retry if it is idempotent).

Four of the new tests failed before.

--- a/flamingosail/proxy/backendserver.py
+++ b/flamingosail/proxy/backendserver.py
@@ -28,6 +28,8 @@
 # long line also costs processor time.
 MAX_HEADER_BYTES = 65_536
 LEAVING_VALUE = b"1"
+# A connection with this many refusals is not reused.
+MAX_REFUSED_IDS = 32
 # Limit on all that arrives for one request; see also ``ServerPool``.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
@@ -38,8 +40,9 @@
     """A complete response of the backend server.
 
     ``head`` holds the header lines to pass on; the other fields come from
-    headers named in the ``Dialect``. ``signature`` is empty if the server did
-    not sign the response, ``instance`` is None if it did not name itself, and
+    headers named in the ``Dialect``. ``not_executed`` is only set if the
+    response names its request. ``signature`` is empty if the server did not
+    sign the response, ``instance`` is None if it did not name itself, and
     ``rate_limit`` (requests per second) is None if it did not state a limit.
     """
 
@@ -124,9 +127,12 @@
 
     ``pool`` is its ServerPool. ``size`` counts the bytes that arrived since
     the request was sent, ``bodiless_bytes`` those since the last piece of a
-    body or the end of a response. While a response is parsed,
-    ``surplus_input`` says that bytes arrived which do not belong to it, and
-    ``has_length`` that its end is known without the close of the connection.
+    body or the end of a response. ``refused_ids`` are the requests that the
+    server refused on this connection: it might write such a refusal once more,
+    as if it were the response to the same request sent again. While a response
+    is parsed, ``surplus_input`` says that bytes arrived which do not belong to
+    it, and ``has_length`` that its end is known without the close of the
+    connection.
     """
 
     def __init__(self, *, pool):
@@ -140,6 +146,7 @@
         self.size = 0
         self.bodiless_bytes = 0
         self.surplus_input = False
+        self.refused_ids: set[bytes] = set()
         self.reset()
 
     def reset(self):
@@ -289,6 +296,21 @@
         else:
             self.complete = True
             self.keep_alive = self.parser.should_keep_alive()
+            if request is not None and (
+                self.not_executed or self.status == 421
+            ):
+                self.record_refusal(request)
+
+    def record_refusal(self, request: ServerRequest):
+        """Record a refusal; without the request's id, it promises nothing."""
+        if request.request_id and self.response_id is None:
+            self.not_executed = False
+            self.keep_alive = False
+            return
+        self.not_executed = True
+        self.refused_ids.add(request.request_id)
+        if len(self.refused_ids) >= MAX_REFUSED_IDS:
+            self.keep_alive = False
 
     # Requests and responses.
 
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -47,6 +47,10 @@
 # are due in between together.
 MIN_PACE_SECONDS = 0.01
 
+# Statuses by which callers know that a request did not run. Without a refusal
+# of the server that names the request, they are not passed on.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 # Names of outcomes in the log and in the metric ``gate_ends``.
 OUTCOME_NAMES = {
     Outcome.ANSWERED: "answered",
@@ -233,9 +237,7 @@
             else:
                 self.server.connect_failed()
                 self.fail(job, Outcome.REFUSED, reason)
-        elif response.not_executed:
-            self.fail(job, Outcome.SHED, "the server refused the request")
-        elif response.status == 421:
+        elif response.not_executed and response.status == 421:
             log.warning(
                 "another server has the address",
                 extra={
@@ -245,8 +247,14 @@
                 },
             )
             self.fail(job, Outcome.SHED, "another server has the address")
+        elif response.not_executed:
+            self.fail(job, Outcome.SHED, "the server refused the request")
         elif not response.signature and response.status < 300:
             self.fail(job, Outcome.LOST, "the answer is not the server's")
+        elif response.status in NOT_RUN_STATUSES:
+            self.fail(
+                job, Outcome.LOST, "the server may have run what it refuses"
+            )
         else:
             seconds = now - job.started
             self.metrics.observe_server(seconds)
--- a/flamingosail/proxy/serverpool.py
+++ b/flamingosail/proxy/serverpool.py
@@ -88,7 +88,7 @@
 
     def send(self, request: ServerRequest):
         """Send a request on an idle connection or a new one."""
-        connection = self.pop_idle(require_intact=not request.idempotent)
+        connection = self.pop_idle(request)
         if connection is not None:
             connection.send(request)
             return
@@ -101,22 +101,28 @@
             timeout=CONNECT_TIMEOUT_SECONDS,
         )
 
-    def pop_idle(self, *, require_intact: bool) -> ServerConnection | None:
-        """Return an idle connection, or None.
+    def pop_idle(self, request: ServerRequest) -> ServerConnection | None:
+        """Return an idle connection for a request, or None.
 
-        With ``require_intact``, one that the server has closed or sent data
-        on is closed and not returned.
+        A non-idempotent request gets none that the server has closed or sent
+        data on; such a connection is closed. No request gets one on which the
+        server has refused it before.
         """
         now = self.reactor.seconds()
-        while self.idle:
+        skipped = []
+        found = None
+        while found is None and self.idle:
             connection = self.idle.pop()
             if now - connection.idle_since > connection.idle_limit:
                 connection.close()
-            elif not require_intact or connection.is_intact():
-                return connection
+            elif request.request_id in connection.refused_ids:
+                skipped.append(connection)
+            elif request.idempotent or connection.is_intact():
+                found = connection
             else:
                 connection.close()
-        return None
+        self.idle.extend(reversed(skipped))
+        return found
 
     def release(self, connection: ServerConnection):
         """Make a connection available to the next request."""
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -6,6 +6,7 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
+from flamingosail.proxy.backendserver import MAX_REFUSED_IDS
 from flamingosail.proxy.backendserver import parse_rate
 from flamingosail.proxy.backendserver import ServerConnection
 from flamingosail.proxy.backendserver import ServerRequest
@@ -361,6 +362,77 @@
         self.assertEqual([], self.ends)
 
 
+class RepeatedRefusalTest(ServerConnectionCase):
+    """A faulty server writes an earlier refusal once more.
+
+    Taken for the response to the request sent next, it said of a request that
+    the server was running that it did not run.
+    """
+
+    def refusal(self, request_id: str) -> bytes:
+        name = f"x-id: {request_id}\r\n" if request_id else ""
+        return (
+            f"HTTP/1.1 503 -\r\n{name}x-not-executed: 1\r\n"
+            "Content-Length: 0\r\n\r\n"
+        ).encode()
+
+    def refused(self) -> list[bool]:
+        """Return which of the ended requests are said not to have run."""
+        return [response.not_executed for response in self.responses]
+
+    def setUp(self):
+        super().setUp()
+        self.responses = []
+        self.connection.request.on_end = self.handle_end
+
+    def handle_end(self, request, response, reason):
+        self.responses.append(response)
+
+    def resend(self, request_id: bytes) -> ServerRequest:
+        """Send a request to the pool and return it."""
+        request = self.request(request_id)
+        request.on_end = self.handle_end
+        self.pool.send(request)
+        return request
+
+    def test_a_refused_request_is_not_sent_on_the_same_connection_again(self):
+        self.connection.dataReceived(self.refusal("b"))
+        self.assertEqual([True], self.refused())
+        again = self.resend(b"b")
+        self.assertIsNot(self.connection, again.connection)
+        self.connection.dataReceived(self.refusal("b"))
+        self.assertEqual([True], self.refused())
+
+    def test_another_request_is_sent_on_that_connection(self):
+        self.connection.dataReceived(self.refusal("b"))
+        other = self.resend(b"c")
+        self.assertIs(self.connection, other.connection)
+        self.connection.dataReceived(self.refusal("b"))
+        self.assertEqual([True], self.refused())
+        self.connection.dataReceived(self.response("c", "own"))
+        self.assertEqual([True, False], self.refused())
+
+    def test_a_refusal_that_names_no_request_promises_nothing(self):
+        self.connection.dataReceived(self.refusal(""))
+        self.assertEqual([False], self.refused())
+
+    def test_a_misdirected_request_is_refused_if_the_response_names_it(self):
+        response = b"HTTP/1.1 421 -\r\n%sContent-Length: 0\r\n\r\n"
+        self.connection.dataReceived(response % b"x-id: b\r\n")
+        self.assertIsNot(self.connection, self.resend(b"b").connection)
+        self.resend(b"c")
+        self.connection.dataReceived(response % b"")
+        self.assertEqual([True, False], self.refused())
+
+    def test_a_connection_with_many_refusals_is_not_kept(self):
+        for number in range(MAX_REFUSED_IDS):
+            self.assertTrue(self.connection.open)
+            request_id = self.connection.request.request_id
+            self.connection.dataReceived(self.refusal(request_id.decode()))
+            self.resend(b"c%d" % number)
+        self.assertTrue(self.transport.aborted)
+
+
 class EndlessResponseTest(ServerConnectionCase):
     """A server in trouble sends bytes that are no response, without end."""
 
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -188,6 +188,15 @@
         self.assertEqual([(b"a", Outcome.REFUSED)], self.outcomes())
         self.assertEqual("absent", self.gate.server.state)
 
+    def test_a_status_that_promises_too_much_is_not_passed_on(self):
+        """The server does not say that it did not run the request."""
+        for status in (408, 421, 429, 503):
+            self.ends.clear()
+            self.gate.server.handle_report(make_report())
+            self.submit()
+            self.pool.sent[-1].finish(make_response(status=status))
+            self.assertEqual([(b"a", Outcome.LOST)], self.outcomes())
+
     def test_a_success_without_signature_is_not_passed_on(self):
         self.gate.server.handle_report(make_report())
         self.submit()
