Answer all requests before a stopping node ends

Requests that come later than 2.3 s after SIGTERM are refused as not run here, as before. But calls of running requests are taken until the end, and the servers of calls and of requests that were taken in time got the client's whole deadline, which may lie after the end of the process; and requests that still waited at the stopping node's gate were cut as well, though they had not run.

From SIGTERM on, servers get no more time than until 0.8 s before the end of the grace time, so that their own answer at the deadline arrives. At the end, the gate refuses what waits as not run, and the node answers the rest: 503 if it did not run, else 502.

--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -1,5 +1,6 @@
 """Forwards requests of clients to backend servers and returns responses."""
 
+from math import inf
 from random import Random
 
 from twisted.internet.interfaces import IReactorTime
@@ -47,6 +48,7 @@
     """Handles the exchanges of clients; see ``exchange.ExchangeHandler``.
 
     While ``closed``, root requests are rejected and calls are still sent.
+    ``ends_at`` is when the node stops answering, infinite until a stop begins.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         self.timeouts = Timeouts(clock=clock, on_due=self.timed_out)
         self.in_flight = 0
         self.closed = False
+        self.ends_at = inf
 
     def set_route_table(self, table: RouteTable):
         """Use a new version of the routing configuration."""
@@ -243,7 +246,7 @@
         """
         server = self.next_server(request)
         remaining = (
-            request.deadline
+            min(request.deadline, self.ends_at)
             - self.clock.seconds()
             - GATE_DEADLINE_MARGIN_SECONDS
         )
@@ -385,6 +388,14 @@
         self.cancel_attempt(request)
         self.fail(request, "the deadline has passed")
 
+    def end_all(self):
+        """Answer all requests, because the node ends."""
+        for request in self.timeouts.pending():
+            if request.attempt is not None:
+                request.possible_runs += request.attempt.may_run()
+            self.cancel_attempt(request)
+            self.fail(request, "the node stops")
+
     def cancel_attempt(self, request: ForwardedRequest):
         """Cancel the current attempt, if any, at the server's node."""
         attempt, request.attempt = request.attempt, None
--- a/flamingosail/proxy/forwarding.py
+++ b/flamingosail/proxy/forwarding.py
@@ -76,6 +76,13 @@
         self.stream = 0
         self.connection = None
 
+    def may_run(self) -> bool:
+        """Return whether a server may be running the request.
+
+        What is queued at another node is not known here.
+        """
+        return not self.server.local or self.connection.request is not None
+
     def ended(self, outcome, status, signature, head, body, reason):
         """Count the result for the server and report it to the forwarder."""
         self.server.calls_in_flight -= 1
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -325,6 +325,14 @@
             else:
                 self.dispatch(job)
 
+    def refuse_queued(self, reason: str):
+        """Refuse the requests that were not sent to the server."""
+        while self.queue:
+            job = heappop(self.queue)[3]
+            if not job.done:
+                self.waiting -= 1
+                self.fail(job, Outcome.REFUSED, reason)
+
     def handle_timeout(self, job: Job):
         """End a queued or dispatched request whose time is over."""
         if job.request is None:
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -34,6 +34,9 @@
 CLIENT_NOTICE_SECONDS = 2.3
 # Open requests are aborted this long before the process would be killed.
 STOP_MARGIN_SECONDS = 0.5
+# Servers get no more time than until so long before that; a server that is at
+# work at its deadline answers then.
+LAST_ANSWERS_SECONDS = 0.3
 STOP_POLL_SECONDS = 0.1
 # Share of the memory for request bodies that are arriving, and the same for
 # responses. A message exists up to three times while it is passed on: in
@@ -328,6 +331,12 @@
             self.stopping_since = self.reactor.seconds()
             log.info("stopping", extra={"in_flight": self.forwarder.in_flight})
             self.clients.draining = True
+            self.forwarder.ends_at = (
+                self.stopping_since
+                + self.stop_seconds
+                - STOP_MARGIN_SECONDS
+                - LAST_ANSWERS_SECONDS
+            )
             self.peers.broadcast_status()
             self.reactor.callLater(CLIENT_NOTICE_SECONDS, self.poll_stop)
         return self.stop_finished
@@ -357,6 +366,8 @@
                 "seconds": round(elapsed, 3),
             },
         )
+        self.gate.refuse_queued("the node stops")
+        self.forwarder.end_all()
         self.clients.close_idle()
         self.clients.stop()
         self.peers.stop()
--- a/flamingosail/proxy/timeouts.py
+++ b/flamingosail/proxy/timeouts.py
@@ -42,6 +42,10 @@
             wait = when - self.clock.seconds()
             self.timer.reset(max(wait, RESOLUTION_SECONDS))
 
+    def pending(self) -> list:
+        """Return the items that are not done, in no particular order."""
+        return [item for _, _, item in self.heap if not item.done]
+
     def arm(self):
         """Start the timer for the next item that is not done."""
         heap = self.heap
--- a/tests/test_proxy_forward.py
+++ b/tests/test_proxy_forward.py
@@ -264,6 +264,17 @@
         self.submit(request_id=b"id.1")
         self.assertEqual(1, len(self.same_domain.calls))
 
+    def test_a_call_that_comes_late_in_a_stop_ends_before_the_node(self):
+        """The server worked on it for longer, and its answer was lost."""
+        self.forwarder.closed = True
+        self.forwarder.ends_at = self.clock.seconds() + 0.4
+        self.peers.gate.running[b"id"] = make_job([], request_id=b"id")
+        self.submit(request_id=b"id.1")
+        self.assertLessEqual(self.same_domain.calls[0][1]["left_ms"], 400)
+        self.clock.advance(0.4)
+        self.submit(request_id=b"id.2")
+        self.assertEqual([503], self.statuses())
+
     def test_without_a_configuration_the_status_is_503(self):
         self.forwarder.table = None
         self.submit()
