Test responses that end in the middle of their head

A response without length that does not name its request is no longer taken for complete when its connection ends: nothing shows that its head is whole.

--- a/flamingosail/proxy/backendserver.py
+++ b/flamingosail/proxy/backendserver.py
@@ -186,7 +186,7 @@
             and not self.has_length
             and reason is not None
             and reason.check(ConnectionDone)
-            and self.matches(request)
+            and self.response_id == request.request_id
         ):
             self.keep_alive = False
             self.deliver()
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -326,6 +326,12 @@
         self.connection.connectionLost(Failure(ConnectionLost()))
         self.assertEqual(None, self.ends[0][0])
 
+    def test_a_response_without_length_and_id_is_not_complete(self):
+        """Nothing shows that its head is whole."""
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nall")
+        self.connection.connectionLost(Failure(ConnectionDone()))
+        self.assertEqual(None, self.ends[0][0])
+
     def test_a_truncated_response_is_incomplete(self):
         data = self.response("b", "whole")
         self.connection.dataReceived(data[:-1])
@@ -362,6 +368,68 @@
         self.assertEqual([], self.ends)
 
 
+class TruncatedHeadTest(ServerConnectionCase):
+    """A server stops in the middle of its response's head and closes.
+
+    Taken for a response without length, it would reach the client as a
+    success with an empty or short body.
+    """
+
+    BODIES = {
+        "length": "Content-Length: 5\r\n\r\nwhole",
+        "chunks": "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+        "neither": "\r\nwhole",
+    }
+    EARLIER = {
+        "nothing": "",
+        "an interim response": "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n",
+        "a late response": "HTTP/1.1 200 OK\r\nx-id: a\r\n"
+        "Content-Length: 6\r\n\r\nformer",
+    }
+
+    def truncate(self, data: bytes, size: int, reason: Exception) -> list:
+        """Return what a request gets if only a part of ``data`` arrives."""
+        connection = ServerConnection(pool=self.pool)
+        connection.makeConnection(ClosingTransport())
+        self.pool.connections.add(connection)
+        self.ends.clear()
+        connection.send(self.request(b"b"))
+        connection.dataReceived(data[:size])
+        connection.connectionLost(Failure(reason))
+        return [body for body, _ in self.ends]
+
+    def test_no_part_of_a_head_is_a_response(self):
+        for framing, body in self.BODIES.items():
+            for earlier, before in self.EARLIER.items():
+                head = (
+                    "HTTP/1.1 200 OK\r\nx-id: b\r\nx-signature: p\r\n"
+                    "Content-Type: text/plain\r\n"
+                )
+                data = (before + head + body).encode()
+                end_of_head = len(data) - len(body.partition("\r\n\r\n")[2])
+                if framing == "neither":
+                    end_of_head = len(data) - len("whole")
+                for reason in (ConnectionDone(), ConnectionLost()):
+                    for size in range(end_of_head):
+                        self.assertEqual(
+                            [None],
+                            self.truncate(data, size, reason),
+                            (framing, earlier, data[:size]),
+                        )
+
+    def test_no_part_of_a_framed_body_is_a_response(self):
+        for framing in ("length", "chunks"):
+            head = "HTTP/1.1 200 OK\r\nx-id: b\r\n"
+            data = (head + self.BODIES[framing]).encode()
+            for size in range(len(data)):
+                self.assertEqual(
+                    [None], self.truncate(data, size, ConnectionDone())
+                )
+            self.assertEqual(
+                [b"whole"], self.truncate(data, len(data), ConnectionDone())
+            )
+
+
 class RepeatedRefusalTest(ServerConnectionCase):
     """A faulty server writes an earlier refusal once more.
 
