Do not reuse a connection on which the server refused a request

The responses of this protocol carry no request id, so the connection is closed after a refusal. The new test failed before.

--- a/flamingosail/backendhttp.py
+++ b/flamingosail/backendhttp.py
@@ -84,9 +84,15 @@
 
     def on_response(self, response: HttpResponse):
         """Finish with the response of the backend server."""
-        self.pool.release(self.connection)
+        answer = convert_response(response)
+        if answer.verdict is Verdict.NOT_RUN:
+            # Responses have no id: if the server wrote the refusal once more,
+            # it would be taken for the response to the next request.
+            self.pool.discard(self.connection)
+        else:
+            self.pool.release(self.connection)
         self.connection = None
-        self.finish(convert_response(response))
+        self.finish(answer)
 
     def on_failure(self, failure: Failure):
         """Finish with a refusal: there was no complete response."""
--- a/tests/test_backendhttp.py
+++ b/tests/test_backendhttp.py
@@ -137,6 +137,22 @@
         )
         self.assert_refused(RefusalCode.OVERLOADED, Verdict.NOT_RUN)
 
+    def test_a_repeated_refusal_is_not_taken_for_the_next_answer(self):
+        """It said of a running request that it did not run."""
+        refusal = (
+            b"HTTP/1.1 503 No\r\nFlamingosail-Verdict: not-run\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        self.serve()
+        first = self.accept_connection()
+        first.dataReceived(refusal)
+        self.answers.clear()
+        self.serve()
+        first.dataReceived(refusal)
+        self.assertEqual([], self.answers)
+        self.accept_connection().dataReceived(OK)
+        self.assertEqual(Verdict.RAN, self.answers[0].verdict)
+
     def test_a_refused_connection_is_not_run(self):
         self.serve()
         self.refuse_connection()
