Let servers of the soak state limits and that they leave

The seeds of the former faults keep their list of faults.

Clusters that run at the same time get ports of different blocks: two soaks started together shared port 11485, one node ended because of it, and requests with the same ids reached the servers of the other soak.

--- a/experiments/platformcluster.py
+++ b/experiments/platformcluster.py
@@ -13,31 +13,46 @@
 import tempfile
 from contextlib import suppress
 from dataclasses import dataclass
+from dataclasses import field
+from math import inf
 from pathlib import Path
 from random import SystemRandom
 
-__all__ = ["Cluster", "free_ports", "Vm"]
+__all__ = ["Cluster", "free_ports", "ServerRecord", "Vm"]
 
 ROOT = Path(__file__).resolve().parent.parent
 PORT_RANGE = (10_000, 30_000)
+BLOCK_PORTS = 100
 HOST = "127.0.0.1"
 FAILURE_DOMAINS = ("fd-a", "fd-b", "fd-c")
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free now.
+def free_ports(count: int) -> tuple[list[int], list[socket.socket]]:
+    """Return ports that are free now, and the sockets that reserve them.
 
-    They are below the ephemeral range: the kernel could give an ephemeral
-    port to an outgoing connection before its listener binds it.
+    Ports come in blocks. The first port of a block is bound as long as its
+    socket is open, so that clusters that run at the same time get other
+    blocks. They are below the ephemeral range: the kernel could give an
+    ephemeral port to an outgoing connection before its listener binds it.
     """
-    ports = []
-    numbers = SystemRandom().sample(range(*PORT_RANGE), PORT_RANGE[1] // 4)
+    ports: list[int] = []
+    guards = []
+    starts = list(range(*PORT_RANGE, BLOCK_PORTS))
+    SystemRandom().shuffle(starts)
     while len(ports) < count:
-        port = numbers.pop()
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind((HOST, port))
-            ports.append(port)
-    return ports
+        start = starts.pop()
+        guard = socket.socket()
+        try:
+            guard.bind((HOST, start))
+        except OSError:
+            guard.close()
+            continue
+        guards.append(guard)
+        for port in range(start + 1, start + BLOCK_PORTS):
+            with socket.socket() as probe, suppress(OSError):
+                probe.bind((HOST, port))
+                ports.append(port)
+    return ports, guards
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -61,6 +76,44 @@
     server: int
 
 
+@dataclass(kw_only=True)
+class ServerRecord:
+    """When a backend server ran requests, and what it stated.
+
+    Times are monotonic, in seconds. ``limits`` holds the start and end of each
+    stated rate limit with its rate, ``leaves_at`` is when the server first
+    stated that it leaves, infinite if it did not.
+    """
+
+    instance: str
+    runs: list[float] = field(default_factory=list)
+    limits: list[tuple[float, float, float]] = field(default_factory=list)
+    leaves_at: float = inf
+
+
+def add_server_line(records: dict[str, ServerRecord], words: list[str]):
+    """Add a line that a stand-in server wrote to its record."""
+    match words:
+        case ["RAN", _, instance, _, time]:
+            server_record(records, instance).runs.append(float(time))
+        case ["LIMIT", rate, instance, time]:
+            limits = server_record(records, instance).limits
+            if float(rate):
+                limits.append((float(time), inf, float(rate)))
+            elif limits:
+                start, _, rate = limits[-1]
+                limits[-1] = start, float(time), rate
+        case ["LEAVES", instance, time]:
+            server_record(records, instance).leaves_at = float(time)
+
+
+def server_record(
+    records: dict[str, ServerRecord], instance: str
+) -> ServerRecord:
+    """Return the record of an instance; a new one if there is none."""
+    return records.setdefault(instance, ServerRecord(instance=instance))
+
+
 class Cluster:
     """Starts and ends the processes of some VMs and the store.
 
@@ -75,7 +128,7 @@
         self.log_sizes: dict[str, int] = {}
         self.vms: dict[str, Vm] = {}
         total = sum(layout.values())
-        ports = free_ports(8 * total + 2)
+        ports, self.port_guards = free_ports(8 * total + 2)
         self.real_store_port, self.store_port = ports.pop(), ports.pop()
         for service, count in layout.items():
             for number in range(count):
@@ -87,8 +140,8 @@
                         number % len(FAILURE_DOMAINS)
                     ],
                     **{
-                        field: ports.pop()
-                        for field in (
+                        listener: ports.pop()
+                        for listener in (
                             "clients",
                             "peers",
                             "advertised",
@@ -183,6 +236,8 @@
             if process.poll() is None:
                 process.kill()
                 process.wait()
+        for guard in self.port_guards:
+            guard.close()
 
     def has_written(self, name: str) -> bool:
         """Return whether a process has written anything since its start."""
@@ -194,6 +249,15 @@
         path = self.folder / f"{name}.log"
         return path.read_text(errors="replace") if path.exists() else ""
 
+    def server_records(self) -> list[ServerRecord]:
+        """Return what each backend server has written."""
+        records: dict[str, ServerRecord] = {}
+        for name in self.processes:
+            if name.startswith("server-"):
+                for line in self.output(name).splitlines():
+                    add_server_line(records, line.split())
+        return list(records.values())
+
     def runs(self) -> list[tuple[str, str, str]]:
         """Return (request id, instance, service) of each run at a server."""
         return [
@@ -226,7 +290,10 @@
 
     return {
         "version": version,
-        "services": [{"name": front}, {"name": deep}],
+        "services": [
+            {"name": service, "healthPath": "/health"}
+            for service in (front, deep)
+        ],
         "limits": {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 1048576,
--- a/experiments/platformsoak.py
+++ b/experiments/platformsoak.py
@@ -10,6 +10,8 @@
 - a non-idempotent request runs at most once,
 - a request with a response of 429, 503, 408 or 421 did not run,
 - a 200 response is complete and belongs to its request,
+- a server gets no more than the rate limit that it states,
+- a server that states that it leaves gets nothing after its drain time,
 - a node exits with code 0 unless it was killed,
 - after the faults, requests are served again.
 """
@@ -20,6 +22,7 @@
 import sys
 from argparse import ArgumentParser
 from collections import Counter
+from collections.abc import Sequence
 from contextlib import suppress
 from dataclasses import dataclass
 from dataclasses import field
@@ -34,7 +37,7 @@
 from experiments.platformcluster import configuration
 from experiments.platformcluster import HOST
 
-__all__ = ["run_soak", "SoakReport"]
+__all__ = ["FAULT_KINDS", "run_soak", "SoakReport"]
 
 # Long enough for all processes to start on a busy machine.
 START_SECONDS = 60.0
@@ -43,6 +46,25 @@
 DEADLINE_MS = 2000
 # A client goes on to another VM after this time without a response.
 CLIENT_TIMEOUT_SECONDS = 4.0
+# Bounds of the platform: the tolerated number of runs in a window of this
+# length is 1.5 times the limit and 5, from the stability time after the limit
+# was first stated on; a server may get requests for the drain time after it
+# first stated that it leaves.
+LIMIT_WINDOW_SECONDS = 4.0
+STABILITY_SECONDS = 3.0
+DRAIN_SECONDS = 2.0
+# Methods of Soak that inject a fault.
+FAULT_KINDS = (
+    "inject_link_fault",
+    "pause_node",
+    "kill_node",
+    "stop_node",
+    "replace_server",
+    "inject_store_fault",
+    "change_configuration",
+    "limit_server",
+    "remove_server",
+)
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -63,9 +85,20 @@
 
 
 class Soak:
-    """One soak of a cluster; ``seconds`` is how long faults are injected."""
+    """One soak of a cluster; ``seconds`` is how long faults are injected.
 
-    def __init__(self, *, seed: int, seconds: float, layout: dict[str, int]):
+    ``kinds`` names the faults, see ``FAULT_KINDS``.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        seconds: float,
+        layout: dict[str, int],
+        kinds: Sequence[str],
+    ):
+        self.kinds = kinds
         self.random = Random(seed)
         self.seconds = seconds
         self.cluster = Cluster(layout=layout)
@@ -95,6 +128,7 @@
             for client in clients:
                 client.cancel()
             self.check_runs()
+            self.check_terms()
         finally:
             self.cluster.stop()
             for link in self.links.values():
@@ -232,17 +266,10 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + self.seconds
         running = set()
-        kinds = (
-            self.inject_link_fault,
-            self.pause_node,
-            self.kill_node,
-            self.stop_node,
-            self.replace_server,
-            self.inject_store_fault,
-            self.change_configuration,
-        )
         while loop.time() < end:
-            task = asyncio.create_task(self.random.choice(kinds)())
+            task = asyncio.create_task(
+                getattr(self, self.random.choice(self.kinds))()
+            )
             running.add(task)
             task.add_done_callback(running.discard)
             await asyncio.sleep(self.random.uniform(0.3, 1.2))
@@ -317,10 +344,38 @@
         self.cluster.start_node(name)
         self.restarting.discard(name)
 
+    async def limit_server(self):
+        """Let a backend server state a rate limit for some seconds."""
+        name = f"server-{self.random_vm()}"
+        if not self.cluster.has_written(name):
+            return  # it has not installed its signal handlers yet
+        self.record_fault(f"limit {name}")
+        process = self.cluster.processes[name]
+        self.cluster.signal(name, signal.SIGUSR1)
+        await asyncio.sleep(self.random.uniform(4.0, 9.0))
+        if process is self.cluster.processes[name]:
+            self.cluster.signal(name, signal.SIGUSR1)
+
+    async def remove_server(self):
+        """Let a backend server state that it leaves, then replace it."""
+        name = self.random_vm()
+        if not self.cluster.has_written(f"server-{name}"):
+            return  # it has not installed its signal handlers yet
+        self.record_fault(f"leave {name}")
+        process = self.cluster.processes[f"server-{name}"]
+        self.cluster.signal(f"server-{name}", signal.SIGUSR2)
+        await asyncio.sleep(DRAIN_SECONDS + self.random.uniform(1.0, 3.0))
+        if process is self.cluster.processes[f"server-{name}"]:
+            await self.end_server(name)
+
     async def replace_server(self):
         """Kill a backend server and start a new one at the same address."""
         name = self.random_vm()
         self.record_fault(f"server {name}")
+        await self.end_server(name)
+
+    async def end_server(self, name: str):
+        """Kill a backend server, and start a new one after a while."""
         process = self.cluster.processes[f"server-{name}"]
         if process.poll() is not None:
             return
@@ -387,6 +442,36 @@
             f"served {share:.2f} of the requests after the faults"
         )
 
+    def check_terms(self):
+        """Compare the runs at each server with what it has asked for."""
+        for server in self.cluster.server_records():
+            for start, end, rate in server.limits:
+                most = 1.5 * rate * LIMIT_WINDOW_SECONDS + 5
+                runs = [
+                    time
+                    for time in server.runs
+                    if start + STABILITY_SECONDS <= time < end
+                ]
+                for time in runs:
+                    window = time + LIMIT_WINDOW_SECONDS
+                    count = sum(time <= other < window for other in runs)
+                    if count > most:
+                        self.record_violation(
+                            f"{server.instance} states {rate} a second and"
+                            f" got {count} in {LIMIT_WINDOW_SECONDS} s"
+                        )
+                        break
+            late = [
+                time
+                for time in server.runs
+                if time > server.leaves_at + DRAIN_SECONDS
+            ]
+            if late:
+                self.record_violation(
+                    f"{server.instance} left and got {len(late)} requests, the"
+                    f" last {late[-1] - server.leaves_at:.2f} s later"
+                )
+
     def check_runs(self):
         """Compare the runs at the servers with the responses to clients."""
         runs = Counter(run[0] for run in self.cluster.runs())
@@ -405,10 +490,19 @@
 
 
 def run_soak(
-    *, seed: int, seconds: float, vms: int = 3
+    *,
+    seed: int,
+    seconds: float,
+    vms: int = 3,
+    kinds: Sequence[str] = FAULT_KINDS,
 ) -> tuple[SoakReport, str]:
     """Run one soak; return its report and the path of its logs."""
-    soak = Soak(seed=seed, seconds=seconds, layout={"front": vms, "deep": vms})
+    soak = Soak(
+        seed=seed,
+        seconds=seconds,
+        layout={"front": vms, "deep": vms},
+        kinds=kinds,
+    )
     return asyncio.run(soak.run()), str(soak.cluster.folder)
 
 
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -2,12 +2,19 @@
 
 from testtools import TestCase
 
+from experiments.platformsoak import FAULT_KINDS
 from experiments.platformsoak import run_soak
 
 # 3 has not failed. 19 failed once: SIGTERM while the interpreter started
 # ended the node with -15.
 SEEDS = (3, 19)
 SECONDS = 6.0
+# The faults for which these seeds were found.
+FIRST_KINDS = FAULT_KINDS[:7]
+# Long enough for a limit that is stated early to be checked.
+TERMS_SEED = 5
+TERMS_SECONDS = 12.0
+TERMS_KINDS = ("limit_server", "limit_server", "remove_server", "kill_node")
 
 
 class SoakTest(TestCase):
@@ -15,6 +22,17 @@
 
     def test_no_guarantee_is_violated(self):
         for seed in SEEDS:
-            report, folder = run_soak(seed=seed, seconds=SECONDS)
+            report, folder = run_soak(
+                seed=seed, seconds=SECONDS, kinds=FIRST_KINDS
+            )
             self.assertEqual([], report.violations, f"seed {seed}: {folder}")
             self.assertGreater(report.statuses[200], 100)
+
+    def test_servers_get_what_they_state_to_take(self):
+        """Guards against servers overloaded in spite of a stated limit."""
+        report, folder = run_soak(
+            seed=TERMS_SEED, seconds=TERMS_SECONDS, kinds=TERMS_KINDS
+        )
+        self.assertEqual([], report.violations, folder)
+        kinds = {fault.split()[0] for fault in report.faults}
+        self.assertLessEqual({"limit", "leave"}, kinds)
