Lift a rate limit only for responses that the server signed

A success without the server's signature is not passed on, but would have lifted the limit. Announce a recalled limit after the recalled draining, and log an invalid limit once instead of for each response.

--- a/flamingosail/proxy/backendserver.py
+++ b/flamingosail/proxy/backendserver.py
@@ -6,7 +6,6 @@
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
 from httptools import HttpResponseParser
-from logbook import Logger
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 
@@ -33,8 +32,6 @@
 # Limit on all that arrives for one request; see also ``ServerPool``.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
-log = Logger("proxy.backendserver")
-
 
 class ServerResponse:
     """A complete response of the backend server.
@@ -255,6 +252,8 @@
             return
         if lower == dialect.rate_limit:
             self.rate_limit = parse_rate(value)
+            if self.rate_limit is None:
+                self.pool.record_invalid_rate(value)
         elif lower == dialect.leaving:
             self.leaving = value.strip() == LEAVING_VALUE
         self.head += (name, b": ", value, b"\r\n")
@@ -404,13 +403,9 @@
 
 
 def parse_rate(value: bytes) -> float | None:
-    """Return a rate in requests per second, None if it is not a number."""
+    """Return a rate in requests per second, None if it is invalid."""
     try:
         rate = float(value)
     except ValueError:
-        log.warning("rate limit ignored", extra={"value": repr(value)})
-        return None
-    if not isfinite(rate) or rate < 0:
-        log.warning("rate limit ignored", extra={"value": repr(value)})
         return None
-    return rate
+    return rate if isfinite(rate) and rate >= 0 else None
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -213,14 +213,7 @@
         )
         self.timeouts.add(job.deadline + RESPONSE_GRACE_SECONDS, job)
         self.server.limiter.record_request()
-        self.metrics.count(
-            "server_requests",
-            "retry"
-            if job.is_retry
-            else "call"
-            if job.rank % 2 == 0
-            else "root",
-        )
+        self.metrics.count("server_requests", request_kind(job))
         self.pool.send(request)
 
     def handle_end(
@@ -398,3 +391,10 @@
             self.paced_dispatch.cancel()
             self.paced_dispatch = None
         self.pool.close_idle()
+
+
+def request_kind(job: Job) -> str:
+    """Return the label of a request in the metric ``server_requests``."""
+    if job.is_retry:
+        return "retry"
+    return "root" if job.rank % 2 else "call"
--- a/flamingosail/proxy/serverpool.py
+++ b/flamingosail/proxy/serverpool.py
@@ -65,7 +65,8 @@
     That one is the least likely to have reached its idle limit. ``connecting``
     is the number of connection attempts in progress, ``connect_count`` that
     of all attempts since the start. ``buffered_bytes`` is the size of the
-    responses that are arriving, at most ``max_buffered_bytes``.
+    responses that are arriving, at most ``max_buffered_bytes``, and
+    ``invalid_rate`` the last rate limit that was logged as invalid.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
     ):
         self.max_buffered_bytes = max_buffered_bytes
         self.buffered_bytes = 0
+        self.invalid_rate = b""
         self.reactor = reactor
         self.dialect = dialect
         self.address = address
@@ -139,6 +141,12 @@
         log.warning("response dropped", extra={"bytes": largest.size})
         largest.fail("no memory for the answer")
 
+    def record_invalid_rate(self, value: bytes):
+        """Log a rate limit that is no rate, once until it changes."""
+        if value != self.invalid_rate:
+            self.invalid_rate = value
+            log.warning("rate limit ignored", extra={"value": repr(value)})
+
     def opened(self, connection: ServerConnection):
         """Add a new connection."""
         self.connecting -= 1
--- a/flamingosail/proxy/serverstate.py
+++ b/flamingosail/proxy/serverstate.py
@@ -135,9 +135,9 @@
             self.limiter.set_rate(None)
             self.announced_rate = None
             self.responded = False
-        self.apply_recalled_rate()
         if self.draining_since is None:
             self.draining_since = self.draining_start(report)
+        self.apply_recalled_rate()
         if server_changed:
             log.info(
                 "server reported",
@@ -230,8 +230,10 @@
         """
         if response.status == 421 or incarnation != self.report.incarnation:
             return
-        self.responded = True
-        self.apply_rate_limit(response.rate_limit, source="server")
+        # A response that another program made does not lift the limit.
+        if response.rate_limit is not None or response.signature:
+            self.responded = True
+            self.apply_rate_limit(response.rate_limit, source="server")
         if response.leaving:
             self.handle_deregistration(*incarnation)
 
--- a/tests/test_proxy_ratelimit.py
+++ b/tests/test_proxy_ratelimit.py
@@ -105,6 +105,41 @@
         )
         self.assertGreater(len(sent), 0.9 * 9.0 * LIMIT_PER_SECOND)
 
+    def test_a_response_that_is_not_signed_does_not_lift_the_limit(self):
+        self.answers["rate_limit"] = LIMIT_PER_SECOND
+        self.run_load(1.0, 30.0)
+        self.answers["rate_limit"] = None
+        self.answers["signature"] = b""
+        self.run_load(1.0, 30.0)
+        self.assertEqual(LIMIT_PER_SECOND, self.gate.server.limiter.rate)
+        del self.answers["signature"]
+        self.run_load(1.0, 30.0)
+        self.assertIsNone(self.gate.server.limiter.rate)
+
+    def test_a_limit_of_zero_lets_single_requests_ask_for_more(self):
+        self.answers["rate_limit"] = 0.0
+        self.run_load(10.0, 30.0)
+        sent = self.sent_after(STABILITY_SECONDS)
+        self.assertGreater(len(sent), 1)
+        self.assertLessEqual(most_in_window(sent), TOLERATED_REQUESTS)
+
+    def test_the_queue_keeps_its_order_under_a_limit(self):
+        self.answers["rate_limit"] = 4.0
+        self.run_load(1.0, 10.0)
+        self.submit(request_id=b"order", rank=0, deadline=9.0)
+        sent = len(self.pool.sent)
+        self.run_load(0.3, 0.0)
+        self.assertEqual(b"order", self.pool.sent[sent].request_id)
+
+    def test_others_are_told_what_the_server_takes(self):
+        changes = []
+        self.gate.server.on_change = lambda: changes.append(1)
+        self.answers["rate_limit"] = LIMIT_PER_SECOND
+        self.run_load(6.0, 30.0)
+        self.assertEqual(1, len(changes))
+        # 12 requests a second of 0.25 s each.
+        self.assertEqual(3, self.gate.capacity)
+
 
 class RestartTest(LimitedServerCase):
     """Guards against a gate that forgets the terms of its server.
