Keep the lower of two limits of a server for a while

The gate obeyed the last figure at once. Ruled out: requests that pass by the gate; until second 12.07 it kept to 18.7.

A raised limit counts once the lower one was not stated for 30 s. The new test failed before.

--- a/flamingosail/proxy/ratelimit.py
+++ b/flamingosail/proxy/ratelimit.py
@@ -10,34 +10,42 @@
 # A server that states a limit of 0 gets this rate, since only a response tells
 # that it takes more again.
 MIN_RATE_PER_SECOND = 0.5
+# A server that raises its limit is recovering. The lower limit holds for this
+# long, so that it does not fall over again.
+RAISE_DELAY_SECONDS = 30.0
 
 
 class RateLimiter:
     """A token bucket; without a rate, requests are not limited.
 
-    ``rate`` is in requests per second, as the server stated it, or None.
+    ``rate`` is the limit in force in requests per second, or None, and
+    ``stated_at`` is when the server last stated it.
     """
 
     def __init__(self, *, clock: IReactorTime):
         self.clock = clock
         self.rate: float | None = None
+        self.stated_at = 0.0
         self.tokens = 0.0
         self.refilled_at = 0.0
 
     def set_rate(self, rate: float | None):
-        """Use another rate from now on.
+        """Use the rate that the server states; None ends the limit.
 
         A new limit starts without tokens: the requests that were sent just
-        before are still at the server.
+        before are still at the server. A raised limit counts once the lower
+        one was not stated for RAISE_DELAY_SECONDS.
         """
-        if rate == self.rate:
-            return
+        now = self.clock.seconds()
         if self.rate is None:
             self.tokens = 0.0
-            self.refilled_at = self.clock.seconds()
-        else:
+            self.refilled_at = now
+        elif rate is not None:
+            if rate > self.rate and now - self.stated_at < RAISE_DELAY_SECONDS:
+                return
             self.refill()
         self.rate = rate
+        self.stated_at = now
 
     @property
     def effective_rate(self) -> float | None:
--- a/flamingosail/proxy/serverstate.py
+++ b/flamingosail/proxy/serverstate.py
@@ -42,8 +42,8 @@
     state changes. ``deregistrations`` maps an instance to the time when
     draining began and the latest start to which that applies. ``check`` is
     set while a restarted node has not confirmed that its server still serves.
-    ``limiter`` holds the rate that the server stated in its last response and
-    ``announced_rate`` the one that was last logged and sent to other nodes.
+    ``limiter`` holds the rate limit that the server states in its responses,
+    ``announced_rate`` is the one that was last logged and sent to other nodes.
     ``recalled_rates`` are limits by server process that other nodes know from
     before a restart of this node, and ``responded`` says that the server has
     answered a request since.
@@ -238,12 +238,12 @@
             self.handle_deregistration(*incarnation)
 
     def apply_rate_limit(self, rate: float | None, *, source: str):
-        """Use a rate limit, or none.
+        """Use a rate limit that was stated, or none.
 
         Small changes are neither logged nor announced.
         """
         self.limiter.set_rate(rate)
-        before = self.announced_rate
+        rate, before = self.limiter.rate, self.announced_rate
         if rate == before or (
             rate is not None
             and before is not None
--- a/tests/test_proxy_ratelimit.py
+++ b/tests/test_proxy_ratelimit.py
@@ -5,6 +5,7 @@
 
 from flamingosail.proxy.hop import Outcome
 from flamingosail.proxy.hop import ServerTerms
+from flamingosail.proxy.ratelimit import RAISE_DELAY_SECONDS
 from tests.proxyfakes import FakePool
 from tests.proxyfakes import make_gate
 from tests.proxyfakes import make_job
@@ -116,6 +117,26 @@
         self.run_load(1.0, 30.0)
         self.assertIsNone(self.gate.server.limiter.rate)
 
+    def test_a_server_that_recovers_gets_more_after_a_delay(self):
+        """It got 155 requests in 4 s after it had stated 18.7 a second."""
+        self.answers["rate_limit"] = LIMIT_PER_SECOND
+        self.run_load(1.0, 60.0)
+        self.answers["rate_limit"] = 3 * LIMIT_PER_SECOND
+        self.run_load(RAISE_DELAY_SECONDS - 1.0, 60.0)
+        self.assertLessEqual(
+            most_in_window(self.sent_after(STABILITY_SECONDS)),
+            TOLERATED_RATIO * LIMIT_PER_SECOND * WINDOW_SECONDS
+            + TOLERATED_REQUESTS,
+        )
+        self.run_load(2.0, 60.0)
+        self.assertEqual(3 * LIMIT_PER_SECOND, self.gate.server.limiter.rate)
+        self.answers["rate_limit"] = LIMIT_PER_SECOND
+        self.run_load(1.0, 60.0)
+        self.assertEqual(LIMIT_PER_SECOND, self.gate.server.limiter.rate)
+        self.answers["rate_limit"] = None
+        self.run_load(1.0, 60.0)
+        self.assertIsNone(self.gate.server.limiter.rate)
+
     def test_a_limit_of_zero_lets_single_requests_ask_for_more(self):
         self.answers["rate_limit"] = 0.0
         self.run_load(10.0, 30.0)
