Keep the newest start of an instance that has left

Found while reading the change: recalled terms of an earlier start of an instance replaced the deregistration of a later start of the same instance, so that a delayed report of it would have made it ready again. The new test failed before.

--- a/flamingosail/proxy/serverstate.py
+++ b/flamingosail/proxy/serverstate.py
@@ -178,9 +178,14 @@
         """Drain a server that has been draining from ``since`` on."""
         while len(self.deregistrations) >= MAX_DEREGISTRATIONS:
             del self.deregistrations[next(iter(self.deregistrations))]
-        known_since, _ = self.deregistrations.pop(instance, (since, 0))
+        known_since, known_start_ms = self.deregistrations.pop(
+            instance, (since, 0)
+        )
         since = min(since, known_since)
-        self.deregistrations[instance] = (since, last_start_ms)
+        self.deregistrations[instance] = (
+            since,
+            max(last_start_ms, known_start_ms),
+        )
         report = self.report
         if (
             report is not None
--- a/tests/test_proxy_ratelimit.py
+++ b/tests/test_proxy_ratelimit.py
@@ -206,6 +206,14 @@
         self.submit()
         self.assertEqual([], self.pool.sent)
 
+    def test_an_older_start_that_left_does_not_hide_a_newer_one(self):
+        """A delayed report of the newer start made it ready again."""
+        self.gate = make_gate(self.clock, pool=self.pool)
+        self.gate.server.handle_deregistration("i-1", 2000)
+        self.gate.server.recall(ServerTerms("i-1", 1000, None, -9.0))
+        self.report(start_ms=2000)
+        self.assertNotEqual("ready", self.gate.server.state)
+
     def test_a_leaving_server_is_drained_for_the_rest_of_its_time(self):
         self.restart(ServerTerms("i-1", 1000, None, 0.5))
         self.report()
