Bound the messages about a changed limit or drain time

After a restart of a node beside a draining server, every other node recalls the draining with a slightly different time, and each earlier one was announced to all nodes: 400 recalls, 400 announcements, the square of the number of nodes in messages.

A changed limit is announced at most once a second; the limit in force and the capacity in pings follow at once. A recalled drain time counts only if it is more than 0.1 s earlier. Both new tests failed before.

--- a/flamingosail/proxy/dialect.py
+++ b/flamingosail/proxy/dialect.py
@@ -20,7 +20,7 @@
     the server, and ``load`` holds the numbers of running requests, waiting
     requests and slots, separated by commas. ``rate_limit`` holds the requests
     per second that the server accepts from all nodes together, and
-    ``leaving`` is present if the server is about to stop.
+    ``leaving`` is 1 if the server is about to stop.
     """
 
     request_id: bytes
--- a/flamingosail/proxy/serverstate.py
+++ b/flamingosail/proxy/serverstate.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from math import inf
 
 from logbook import Logger
 from twisted.internet.interfaces import IReactorTime
@@ -30,6 +31,12 @@
 RECONNECT_DELAY_SECONDS = 0.3
 # Other nodes are told of a rate limit that changed by more than this share.
 ANNOUNCED_RATE_CHANGE = 0.1
+# They are told at most this often. A server that states a limit in some of its
+# responses only would otherwise cause a message to all nodes for each one.
+RATE_ANNOUNCEMENT_SECONDS = 1.0
+# All nodes recall the draining of a server with slightly different times. Each
+# earlier time is announced to all nodes, so smaller differences do not count.
+DRAIN_RESOLUTION_SECONDS = 0.1
 
 log = Logger("proxy.gate")
 
@@ -43,7 +50,8 @@
     draining began and the latest start to which that applies. ``check`` is
     set while a restarted node has not confirmed that its server still serves.
     ``limiter`` holds the rate limit that the server states in its responses,
-    ``announced_rate`` is the one that was last logged and sent to other nodes.
+    ``announced_rate`` is the one that was last logged and sent to other nodes,
+    at ``announced_at``.
     ``recalled_rates`` are limits by server process that other nodes know from
     before a restart of this node, and ``responded`` says that the server has
     answered a request since.
@@ -67,6 +75,7 @@
         self.speed = SpeedMeter(clock=clock)
         self.limiter = RateLimiter(clock=clock)
         self.announced_rate: float | None = None
+        self.announced_at = -inf
         self.recalled_rates: dict[tuple[str, int], float] = {}
         self.responded = False
 
@@ -134,6 +143,7 @@
             self.speed.reset()
             self.limiter.set_rate(None)
             self.announced_rate = None
+            self.announced_at = -inf
             self.responded = False
         if self.draining_since is None:
             self.draining_since = self.draining_start(report)
@@ -191,7 +201,10 @@
             report is not None
             and report.instance == instance
             and report.start_ms <= last_start_ms
-            and (self.draining_since is None or since < self.draining_since)
+            and (
+                self.draining_since is None
+                or since < self.draining_since - DRAIN_RESOLUTION_SECONDS
+            )
         ):
             self.draining_since = since
             log.info("server leaves", extra={"instance": instance})
@@ -245,8 +258,10 @@
     def apply_rate_limit(self, rate: float | None, *, source: str):
         """Use a rate limit that was stated, or none.
 
-        Small changes are neither logged nor announced.
+        Small changes are neither logged nor announced. A change soon after an
+        announced one is announced with a later response.
         """
+        now = self.clock.seconds()
         self.limiter.set_rate(rate)
         rate, before = self.limiter.rate, self.announced_rate
         if rate == before or (
@@ -255,7 +270,9 @@
             and abs(rate - before) <= ANNOUNCED_RATE_CHANGE * before
         ):
             return
-        self.announced_rate = rate
+        if now - self.announced_at < RATE_ANNOUNCEMENT_SECONDS:
+            return
+        self.announced_rate, self.announced_at = rate, now
         log.info(
             "server limit",
             extra={
--- a/tests/test_proxy_ratelimit.py
+++ b/tests/test_proxy_ratelimit.py
@@ -161,6 +161,16 @@
         # 12 requests a second of 0.25 s each.
         self.assertEqual(3, self.gate.capacity)
 
+    def test_a_limit_in_some_responses_only_causes_few_messages(self):
+        """Each response caused a message to all nodes."""
+        changes = []
+        self.gate.server.on_change = lambda: changes.append(1)
+        for _ in range(100):
+            for rate in (50.0, None):
+                self.answers["rate_limit"] = rate
+                self.run_load(0.02, 100.0)
+        self.assertLessEqual(len(changes), 6)
+
 
 class RestartTest(LimitedServerCase):
     """Guards against a gate that forgets the terms of its server.
@@ -214,6 +224,17 @@
         self.report(start_ms=2000)
         self.assertNotEqual("ready", self.gate.server.state)
 
+    def test_many_nodes_that_recall_a_draining_cause_few_messages(self):
+        """Each recall with an earlier time caused a message to all nodes."""
+        self.restart(ServerTerms("i-1", 1000, None, 0.5))
+        changes = []
+        self.gate.server.on_change = lambda: changes.append(1)
+        self.report()
+        for number in range(400):
+            remaining = 0.5 - number / 10_000
+            self.gate.server.recall(ServerTerms("i-1", 1000, None, remaining))
+        self.assertLessEqual(len(changes), 2)
+
     def test_a_leaving_server_is_drained_for_the_rest_of_its_time(self):
         self.restart(ServerTerms("i-1", 1000, None, 0.5))
         self.report()
