--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -197,6 +197,7 @@
                 for peer in self.peers.peers.values()
             ),
             config_version=self.config_version,
+            store_era=lambda: self.peers.store_era.number or 0,
             store_reader=lambda: int(self.peers.was_store_reader),
             server_slowness=self.gate.server.speed.slowness,
             buffered_request_bytes=lambda: self.clients.buffered_body_bytes,
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -28,6 +28,7 @@
 from flamingosail.proxy.readers import is_reader
 from flamingosail.proxy.readers import ReaderCandidate
 from flamingosail.proxy.servers import LocalServer
+from flamingosail.proxy.storeera import StoreEra
 from flamingosail.settings import Address
 
 __all__ = ["PeerTable", "TICK_SECONDS"]
@@ -59,8 +60,8 @@
     ``last_pull`` the version and time of the last ConfigPull, and
     ``newer_version`` the newest version that a peer announced with the time of
     its first announcement. ``reaches_store`` is false if this node's last call
-    to the metadata store failed. Near peers are in the failure domain of this
-    node, far peers in others.
+    to the metadata store failed, ``store_era`` is the era of that store. Near
+    peers are in the failure domain of this node, far peers in others.
     """
 
     noisy = False
@@ -98,6 +99,7 @@
         self.last_pull = (0, 0.0)
         self.newer_version = (0, 0.0)
         self.reaches_store = True
+        self.store_era = StoreEra()
         self.was_store_reader = False
         self.own_report = LoadReport()
         self.reports = LoadReports(clock=reactor)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -20,6 +20,7 @@
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
+from flamingosail.proxy.storeera import StoreEra
 from flamingosail.settings import Address
 
 
@@ -217,7 +218,9 @@
     """Paged responses of the store must be read completely."""
 
     def client(self, *responses):
-        client = StoreClient(reactor=Clock(), address=Address("10.0.0.1", 1))
+        client = StoreClient(
+            reactor=Clock(), address=Address("10.0.0.1", 1), era=StoreEra()
+        )
         remaining = list(responses)
         client.call = lambda *args: succeed(remaining.pop(0))
         return client
