Read a restored store anew in each of its eras

In a test with real processes, a configuration that the store had confirmed after a restore was never in force: both nodes stayed at version 3 while the store held version 4.

Cause: an offset was taken to name the same record for ever. A store that comes back from a copy gives offsets out again; a reader at an offset that exists again goes on behind records that it has not read, without an error. The class: knowledge of the store's past (offsets, which records were written) had no owner, and outlived the past that it described.

Ruled out: that 410 alone suffices (the end of the topic may be where it was); that the older configuration wins at a node that starts in between (a newer version is pulled from any peer that pings, and versions do not go back).

Change: StoreEra owns the newest era that the node has heard of, from any answer of the store or any ping of a peer. A position in a topic carries its era; in a later one a watch starts over with the newest records. A document that differs from the one in force under the same version is logged.

Why it works: whichever node first gets an answer of the new era tells all others within a ping, and none of them can use an offset of the former one.

--- a/flamingosail/proxy/hop.py
+++ b/flamingosail/proxy/hop.py
@@ -113,11 +113,13 @@
 class Ping(Struct, tag=4, array_like=True, gc=False):
     """Requests a Pong; carries the sender's configuration version.
 
-    ``report`` is None between failure domains.
+    ``report`` is None between failure domains. ``store_era`` is the newest era
+    of the metadata store that the sender knows of.
     """
 
     config_version: int
     report: LoadReport | None
+    store_era: int = 0
 
 
 class ServerTerms(Struct, array_like=True, gc=False):
@@ -162,7 +164,7 @@
 
     ``reaches_store`` is false if the sender's last call to the metadata store
     failed. ``slowness_percent`` is how long its server takes for a request,
-    compared with the mean of its service.
+    compared with the mean of its service, ``store_era`` as in ``Ping``.
     """
 
     running: int
@@ -171,6 +173,7 @@
     config_version: int
     reaches_store: bool = True
     slowness_percent: int = 100
+    store_era: int = 0
 
 
 class Hello(Struct, tag=7, array_like=True, gc=False):
--- a/flamingosail/proxy/hopconnection.py
+++ b/flamingosail/proxy/hopconnection.py
@@ -134,8 +134,10 @@
                     self.table.config_version(),
                     self.table.reaches_store,
                     round(100 * gate.server.speed.slowness()),
+                    self.table.store_era.number,
                 )
             )
+            self.table.store_era.observe(message.store_era, source="peer")
             self.table.pull_newer_config(message.config_version, self)
             if message.report is not None:
                 self.table.reports.add_report(
@@ -271,6 +273,7 @@
             )
             peer.reaches_store = message.reaches_store
             peer.slowness = message.slowness_percent / 100
+            self.table.store_era.observe(message.store_era, source="peer")
             self.table.pull_newer_config(message.config_version, self)
         elif kind is Status:
             peer.handle_status(message)
@@ -318,4 +321,10 @@
         if self.unanswered_since is None:
             self.unanswered_since = now
         report = self.table.own_report if self.peer.near else None
-        self.send(Ping(self.table.config_version(), report))
+        self.send(
+            Ping(
+                self.table.config_version(),
+                report,
+                self.table.store_era.number,
+            )
+        )
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -197,7 +197,7 @@
                 for peer in self.peers.peers.values()
             ),
             config_version=self.config_version,
-            store_era=lambda: self.peers.store_era.number or 0,
+            store_era=lambda: self.peers.store_era.number,
             store_reader=lambda: int(self.peers.was_store_reader),
             server_slowness=self.gate.server.speed.slowness,
             buffered_request_bytes=lambda: self.clients.buffered_body_bytes,
@@ -279,6 +279,17 @@
             )
             return
         if route_table.version <= self.config_version():
+            if (
+                route_table.version == self.config_version()
+                and document != self.document
+            ):
+                log.warning(
+                    "configuration differs",
+                    extra={
+                        "source": source,
+                        "config_version": route_table.version,
+                    },
+                )
             return
         log.info(
             "configuration in force",
--- a/flamingosail/proxy/storeera.py
+++ b/flamingosail/proxy/storeera.py
@@ -17,27 +17,25 @@
 class StoreEra:
     """The newest era of the store that this node has heard of.
 
-    ``number`` is 0 for a store that names none. The listeners are called
-    without arguments when it rises.
+    ``number`` is 0 until the store, or another node, names one. The listeners
+    are called without arguments when it rises.
     """
 
     def __init__(self):
-        self.number: int | None = None
+        self.number = 0
         self.listeners: list[Callable[[], None]] = []
 
     def observe(self, number: int, *, source: str):
-        """Record an era that the store, or another node, has named.
+        """Record an era that the store or another node has named.
 
         ``source`` is "store" or "peer".
         """
-        before = self.number
-        if before is not None and number <= before:
+        if number <= self.number:
             return
-        self.number = number
         log.info(
             "store era",
-            extra={"era": number, "before": before, "source": source},
+            extra={"era": number, "before": self.number, "source": source},
         )
-        if before is not None:
-            for listener in self.listeners:
-                listener()
+        self.number = number
+        for listener in self.listeners:
+            listener()
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -20,6 +20,8 @@
 from experiments.platformcluster import ROOT
 
 START_SECONDS = 60.0
+# Stability time and time to apply a configuration of the platform.
+RESTORED_SECONDS = 3.0 + 2.0
 
 
 def call(port: int, path: str, *, body=None, headers=None) -> tuple:
@@ -69,12 +71,14 @@
         self.assertIn("appAddr", cluster.output("check"))
 
 
-class PlatformProcessTest(TestCase):
-    """The entry point, the connections between processes, and shutdown."""
+class ClusterTest(TestCase):
+    """Base class of tests with a store, nodes and backend servers."""
+
+    layout = {"front": 2, "deep": 2}
 
     def setUp(self):
         super().setUp()
-        self.cluster = Cluster(layout={"front": 2, "deep": 2})
+        self.cluster = Cluster(layout=self.layout)
         self.addCleanup(self.cluster.stop)
         cluster = self.cluster
         cluster.start_store(cluster.store_port)
@@ -130,6 +134,10 @@
                 )
             )
 
+
+class PlatformProcessTest(ClusterTest):
+    """The entry point, the connections between processes, and shutdown."""
+
     def resident_mb(self) -> float:
         """Return the memory of the largest node in MB."""
         sizes = []
@@ -204,3 +212,46 @@
         # The other nodes still serve requests.
         front = vms["front-0"]
         self.assertEqual(200, self.request(front, "/read/a", "id5")[0])
+
+
+class RestoredStoreTest(ClusterTest):
+    """No configuration may be missed when the store is restored."""
+
+    # Both nodes are readers of the store.
+    layout = {"front": 1, "deep": 1}
+
+    def gauges(self, name: str) -> set[int]:
+        """Return the values of a gauge at the nodes."""
+        start = f"\nflamingosail_{name} ".encode()
+        return {
+            int(float(text.partition(start)[2].split()[0]))
+            for vm in self.cluster.vms.values()
+            for text in [call(vm.metrics, "/metrics")[2]]
+        }
+
+    def test_a_configuration_after_a_restore_of_the_store_is_in_force(self):
+        """Guards against a reader at an offset that was given out again."""
+        self.wait_until_served()
+        store, nodes = self.cluster.store_port, list(self.cluster.vms)
+        self.wait_until(lambda: self.gauges("store_reader") == {1})
+        call(store, "/copy", body=b"{}")
+        for version in (2, 3):
+            self.publish_configuration(version)
+        self.wait_until(lambda: self.gauges("config_version") == {3})
+        for name in nodes:
+            self.cluster.signal(f"node-{name}", signal.SIGSTOP)
+        call(store, "/restore", body=b"{}")
+        # The operator writes again what was lost, then something new: the end
+        # of the topic is where it was.
+        for version in (3, 4):
+            self.publish_configuration(version)
+        for name in nodes:
+            self.cluster.signal(f"node-{name}", signal.SIGCONT)
+        resumed = time.monotonic()
+        self.wait_until(
+            lambda: (
+                self.gauges("config_version") == {4}
+                or time.monotonic() - resumed > RESTORED_SECONDS
+            )
+        )
+        self.assertEqual({4}, self.gauges("config_version"))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -5,6 +5,7 @@
 
 from flamingosail_platform.store import decode_records
 from flamingosail_platform.store import encode_record
+from flamingosail_platform.store import Position
 from flamingosail_platform.store import Record
 from flamingosail_platform.store import RecordsTrimmed
 from flamingosail_platform.store import StoreClient
@@ -48,6 +49,7 @@
         self.records = []
         self.failures = []
         self.calls = []
+        self.era = StoreEra()
 
     def respond(self, name, value):
         self.calls.append(name)
@@ -58,11 +60,14 @@
     def read_newest(self, topic):
         newest = {record.key: record for record in self.records}
         records = [record for record in newest.values() if record.value]
-        return self.respond("newest", (records, len(self.records)))
+        return self.respond("newest", (records, self.end()))
 
-    def read(self, topic, offset, wait_seconds):
-        end_offset = len(self.records)
-        return self.respond("read", (self.records[offset:], end_offset))
+    def read(self, topic, position, wait_seconds):
+        records = self.records[position.offset :]
+        return self.respond("read", (records, self.end()))
+
+    def end(self) -> Position:
+        return Position(era=0, offset=len(self.records))
 
     def append(self, topic, record):
         self.records.append(record)
@@ -235,10 +240,10 @@
         client = self.client(
             self.page(["a"], hasMore=True), self.page(["b"], endOffset=12)
         )
-        records, end_offset = self.result_of(client.read_newest("keyed.op"))
+        records, position = self.result_of(client.read_newest("keyed.op"))
         self.assertEqual(["a", "b"], [record.key for record in records])
         # Records written between the pages must be read again.
-        self.assertEqual(9, end_offset)
+        self.assertEqual(9, position.offset)
 
     def result_of(self, deferred):
         results = []
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -190,6 +190,16 @@
             self.assertEqual(number < 4, self.table.is_store_reader())
             self.receive(peer, Pong(0, 0, 10, 1, False))
 
+    def test_the_era_of_the_store_reaches_all_nodes(self):
+        """Guards against offsets of a store that was restored meanwhile."""
+        peer = self.connect("10.0.0.1", "fd-b")
+        self.receive(peer, Pong(0, 0, 10, 1, True, 100, 2))
+        self.assertEqual(2, self.table.store_era.number)
+        self.receive(peer, Pong(0, 0, 10, 1, True, 100, 1))
+        self.assertEqual(2, self.table.store_era.number)
+        sent = self.run_for(2.0, peer)[peer]
+        self.assertEqual(2, sent[-1].store_era)
+
     def test_a_configuration_is_pulled_from_near_peers_first(self):
         """One reader would otherwise send it to all failure domains."""
         near = self.connect("10.0.0.1", "fd-a")
