--- a/flamingosail/proxy/hop.py
+++ b/flamingosail/proxy/hop.py
@@ -7,12 +7,11 @@
 
 from typing import Union
 
-from msgspec import DecodeError
 from msgspec import Struct
-from msgspec import ValidationError
 from msgspec.msgpack import Decoder
 from msgspec.msgpack import Encoder
 
+from flamingosail.decoding import decode_untrusted
 from flamingosail.errors import CodecError
 from flamingosail.proxy.overload import LoadReport
 
@@ -306,9 +305,11 @@
                 end = body_start + length
                 if end > size:
                     break
-                messages.append(_decoder.decode(buffer[body_start:end]))
+                messages.append(
+                    decode_untrusted(_decoder, buffer[body_start:end])
+                )
                 start = end
-        except (DecodeError, ValidationError) as error:
+        except ValueError as error:
             raise CodecError(str(error)) from error
         if start:
             del buffer[:start]
--- a/flamingosail/settings.py
+++ b/flamingosail/settings.py
@@ -67,6 +67,8 @@
             host = host[1:-1]
         elif ":" in host:
             raise ValueError("has an IPv6 address without brackets")
+        if "%" in host:
+            raise ValueError("has an IPv6 address with a scope")
         return cls(host=str(ip_address(host)), port=parse_port(port))
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -17,6 +17,7 @@
 from testtools import TestCase
 from twisted.internet.testing import MemoryReactorClock
 
+from flamingosail.proxy.hop import encode_frame
 from flamingosail.proxy.node import NodeConfig
 from flamingosail.proxy.node import ProxyNode
 from flamingosail.settings import Address
@@ -276,6 +277,18 @@
         )
         self.assertEqual("i-1", self.node.gate.server.report.instance)
 
+    def test_an_odd_start_time_does_not_hide_the_server(self):
+        """Guards against a report that no later one of the server replaces.
+
+        A start time beyond 64 bits also ended all messages to other nodes.
+        """
+        for changes in ({"seq": 2**70}, {"seq": 2**60}):
+            self.assertEqual(400, self.send_heartbeat(**changes))
+        for born in (2**70, 2**60, 10**14, -(2**60)):
+            self.assertEqual(400, self.send_heartbeat(born=born))
+        self.assertEqual(200, self.send_heartbeat())
+        encode_frame(self.node.status())
+
     def test_a_deregistration_before_the_first_heartbeat_counts(self):
         path = "/v1/Instances.Deregister/i-1"
         self.assertEqual(200, self.post(path, {"born": 1000}))
