Ignore a configuration with numbers that no node can act on

What callers would see: a configuration with a version beyond 64 bits was put in force, and from then on each ping of the node failed to encode, so that it lost all other nodes; a priority or a timeout of that size failed each request of its route; a negative idle timeout failed each connection of a client.

Cause: the adapter checked types and a few signs, not ranges.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -116,11 +116,59 @@
 class OddConfigurationTest(TestCase):
     """Guards against a document that no node can act on or pass on."""
 
+    def check(self, change, *, valid=False):
+        document = configuration(7, "front", "deep")
+        change(document, document["virtualHosts"][0]["paths"][0])
+        data = json.dumps(document).encode()
+        if valid:
+            parse_configuration(data)
+        else:
+            with ExpectedException(ValueError):
+                parse_configuration(data)
+
     def test_deep_nesting_is_invalid(self):
         data = json.dumps(configuration(7, "front", "deep")).encode()
         with ExpectedException(ValueError):
             parse_configuration(data[:-1] + b', "x": ' + NESTED + b"}")
 
+    def test_numbers_that_do_not_fit_are_invalid(self):
+        """A version beyond 64 bits ended all pings to other nodes."""
+        for key, value in (
+            ("priority", 2**80),
+            ("priority", -1),
+            ("timeoutS", 1e300),
+            ("maxAttempts", 10**30),
+            ("maxAttempts", 0),
+        ):
+            self.check(lambda _, route, k=key, v=value: route.update({k: v}))
+        for value in (2**70, -1, 0):
+            self.check(lambda top, _, v=value: top.update(version=v))
+        for key, value in (
+            ("idleTimeoutS", -5),
+            ("headerTimeoutS", 1e308),
+            ("maxHeaderBytes", -1),
+            ("maxBodyBytes", 2**80),
+        ):
+            self.check(
+                lambda top, _, k=key, v=value: top["limits"].update({k: v})
+            )
+        for weight in (-1.0, 1e308):
+            split = [
+                {"service": "front", "weight": weight},
+                {"service": "deep", "weight": 1e308},
+            ]
+            self.check(lambda _, route, s=split: route.update(trafficSplit=s))
+
+    def test_the_largest_numbers_are_valid(self):
+        self.check(
+            lambda top, route: (
+                top.update(version=2**53),
+                top["limits"].update(maxBodyBytes=2**40),
+                route.update(timeoutS=86_400.0, priority=1000),
+            ),
+            valid=True,
+        )
+
 
 class OddMessageTest(TestCase):
     """Guards against errors that end a connection without a reason."""
