--- a/experiments/platformsoak.py
+++ b/experiments/platformsoak.py
@@ -2,10 +2,10 @@
 
 A seed determines the faults: connections through loopback proxies are
 delayed, reset, or dropped in one direction or both; nodes and servers are
-stopped, suspended, killed and started again, with overlaps; the store fails
-and loses its history; configurations change. Meanwhile clients send requests.
-The responses and the runs at the backend servers are compared with the
-guarantees:
+stopped, suspended, killed and started again, with overlaps; the store fails,
+loses its history, and comes back from an older copy; configurations change.
+Meanwhile clients send requests. The responses and the runs at the backend
+servers are compared with the guarantees:
 
 - a non-idempotent request runs at most once,
 - a request with a response of 429, 503, 408 or 421 did not run,
@@ -13,7 +13,8 @@
 - a server gets no more than the rate limit that it states,
 - a server that states that it leaves gets nothing after its drain time,
 - a node exits with code 0 unless it was killed,
-- after the faults, requests are served again.
+- after the faults, requests are served again, and all nodes have the newest
+  configuration in force.
 """
 
 import asyncio
@@ -64,6 +65,7 @@
     "change_configuration",
     "limit_server",
     "remove_server",
+    "restore_store",
 )
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -107,6 +109,7 @@
         self.status_by_id: dict[str, int] = {}
         self.non_idempotent_ids: set[str] = set()
         self.restarting: set[str] = set()
+        self.restoring = False
         self.version = 0
         self.requests_sent = 0
         self.load_running = True
@@ -399,6 +402,28 @@
         await asyncio.sleep(self.random.uniform(0.5, 3.0))
         await send_request(HOST, port, "/faults", b"{}", {})
 
+    async def restore_store(self):
+        """Let the store go away and come back from an older copy.
+
+        The operator writes the newest configuration again.
+        """
+        if self.restoring:
+            return
+        self.restoring = True
+        self.record_fault("restore")
+        port = self.cluster.real_store_port
+        await send_request(HOST, port, "/copy", b"{}", {})
+        await asyncio.sleep(self.random.uniform(0.5, 4.0))
+        await send_request(HOST, port, "/faults", b'{"mode": "reset"}', {})
+        await asyncio.sleep(self.random.uniform(0.0, 2.0))
+        await send_request(HOST, port, "/restore", b"{}", {})
+        await send_request(HOST, port, "/faults", b"{}", {})
+        if self.random.random() < 0.5:
+            await asyncio.sleep(self.random.uniform(0.0, 1.0))
+        with suppress(OSError, TimeoutError):
+            await asyncio.wait_for(self.write_configuration(), 1.0)
+        self.restoring = False
+
     async def change_configuration(self):
         """Write the next configuration."""
         self.record_fault("configuration")
@@ -436,12 +461,27 @@
             total = sum(self.recent_statuses.values())
             share = self.recent_statuses[200] / max(1, total)
             self.report.served_at_end = share
-            if total and share >= 0.95:
+            versions = await self.versions_in_force()
+            if total and share >= 0.95 and versions == {self.version}:
                 return
         self.record_violation(
-            f"served {share:.2f} of the requests after the faults"
+            f"served {share:.2f} of the requests after the faults; versions"
+            f" {versions} in force, {self.version} written"
         )
 
+    async def versions_in_force(self) -> set[int]:
+        """Return the versions of the configuration at the nodes."""
+        start = b"\nflamingosail_config_version "
+        versions = set()
+        for vm in self.cluster.vms.values():
+            with suppress(OSError, TimeoutError):
+                _, text = await asyncio.wait_for(
+                    send_request(HOST, vm.metrics, "/metrics", b"", {}),
+                    CLIENT_TIMEOUT_SECONDS,
+                )
+                versions.add(int(float(text.partition(start)[2].split()[0])))
+        return versions
+
     def check_terms(self):
         """Compare the runs at each server with what it has asked for."""
         for server in self.cluster.server_records():
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -14,6 +14,14 @@
 # Long enough for a limit that is stated early to be checked.
 TERMS_SEED = 5
 TERMS_SECONDS = 12.0
+RESTORE_SEED = 7
+RESTORE_SECONDS = 10.0
+RESTORE_KINDS = (
+    "restore_store",
+    "kill_node",
+    "inject_link_fault",
+    "change_configuration",
+)
 TERMS_KINDS = ("limit_server", "limit_server", "remove_server", "kill_node")
 
 
@@ -28,6 +36,15 @@
             self.assertEqual([], report.violations, f"seed {seed}: {folder}")
             self.assertGreater(report.statuses[200], 100)
 
+    def test_a_restored_store_leaves_no_node_behind(self):
+        """Guards against configurations that are missed after a restore."""
+        report, folder = run_soak(
+            seed=RESTORE_SEED, seconds=RESTORE_SECONDS, kinds=RESTORE_KINDS
+        )
+        self.assertEqual([], report.violations, folder)
+        kinds = {fault.split()[0] for fault in report.faults}
+        self.assertLessEqual({"restore", "configuration"}, kinds)
+
     def test_servers_get_what_they_state_to_take(self):
         """Guards against servers overloaded in spite of a stated limit."""
         report, folder = run_soak(
