--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -14,7 +14,8 @@
 # Long enough for a limit that is stated early to be checked.
 TERMS_SEED = 5
 TERMS_SECONDS = 12.0
-RESTORE_SEED = 7
+# On the code before the fix, it left the nodes at version 6 of 7.
+RESTORE_SEED = 8
 RESTORE_SECONDS = 10.0
 RESTORE_KINDS = (
     "restore_store",
