Log the requests that ran when a backend server crashed

The logs had the ids of lost requests only, which differ each time, and no line said that a server had crashed: a gate noticed the end of its server with the next request that got no connection.

CrashWatch tells a crash from a lost connection: all connections of the server closed, and it refuses a new one. A crash is logged with the fingerprint and the request line of what ran there, and counted. A fingerprint names a request that comes again under another id: method, path, host, credentials and body. Nothing decides by it yet, except that the server is taken for down at once.

The time of a request at its server is no longer recorded twice if it is cancelled while this is being found out.

--- a/flamingosail/proxy/backendserver.py
+++ b/flamingosail/proxy/backendserver.py
@@ -14,7 +14,12 @@
 from flamingosail.sockets import disable_nagle
 from flamingosail.sockets import write_now
 
-__all__ = ["ServerConnection", "ServerRequest", "ServerResponse"]
+__all__ = [
+    "CONNECTION_LOST",
+    "ServerConnection",
+    "ServerRequest",
+    "ServerResponse",
+]
 
 # Servers close idle connections: if a server sends no Keep-Alive header, a
 # connection that was idle for longer than this is not reused.
@@ -27,6 +32,8 @@
 # long line also costs processor time.
 MAX_HEADER_BYTES = 65_536
 LEAVING_VALUE = b"1"
+# Reason of a request whose connection ended before its response was complete.
+CONNECTION_LOST = "the server closed the connection"
 # A connection with this many refusals is not reused.
 MAX_REFUSED_IDS = 32
 # Limit on all that arrives for one request; see also ``ServerPool``.
@@ -190,7 +197,7 @@
             return
         self.request = None
         self.release_buffer()
-        request.finish(None, "the server closed the connection")
+        request.finish(None, CONNECTION_LOST)
 
     def dataReceived(self, data):  # noqa: N802 - named by twisted
         """Parse input; input without a request closes the connection."""
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -13,8 +13,10 @@
 from logbook import Logger
 from twisted.internet.interfaces import IReactorTime
 
+from flamingosail.proxy.backendserver import CONNECTION_LOST
 from flamingosail.proxy.backendserver import ServerRequest
 from flamingosail.proxy.backendserver import ServerResponse
+from flamingosail.proxy.crashwatch import CrashWatch
 from flamingosail.proxy.decisions import DecisionLog
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.hop import Outcome
@@ -51,6 +53,10 @@
 # of the server that names the request, they are not passed on.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+# Limits of the log line about a crash.
+MAX_LOGGED_REQUESTS = 64
+MAX_LOGGED_BYTES = 200
+
 # Names of outcomes in the log and in the metric ``gate_ends``.
 OUTCOME_NAMES = {
     Outcome.ANSWERED: "answered",
@@ -88,6 +94,9 @@
         expected_seconds: Callable[[int, str], float | None],
     ):
         self.clock = clock
+        self.crash_watch = CrashWatch(
+            clock=clock, pool=pool, on_result=self.handle_lost
+        )
         self.server = server
         self.expected_seconds = expected_seconds
         self.pool = pool
@@ -225,7 +234,10 @@
         if response is not None:
             self.server.handle_response(job.incarnation, response)
         if response is None:
-            if job.request.written:
+            if reason == CONNECTION_LOST:
+                job.identify()
+                self.crash_watch.add(job)
+            elif job.request.written:
                 self.fail(job, Outcome.LOST, reason)
             else:
                 self.server.connect_failed()
@@ -267,6 +279,42 @@
             )
         self.dispatch_queued()
 
+    def handle_lost(self, jobs: list[Job], crashed: bool):
+        """End requests whose connection ended without a response.
+
+        A server that leaves has not crashed.
+        """
+        crashed = crashed and self.server.draining_since is None
+        if crashed:
+            self.record_crash(jobs)
+        for job in jobs:
+            if not job.done:
+                self.fail(
+                    job,
+                    Outcome.LOST,
+                    "the server crashed" if crashed else CONNECTION_LOST,
+                )
+        self.dispatch_queued()
+
+    def record_crash(self, jobs: list[Job]):
+        """Record which requests ran at the server when it crashed."""
+        incarnation = jobs[0].incarnation
+        log.warning(
+            "server crashed",
+            extra={
+                "instance": incarnation[0],
+                "born": incarnation[1],
+                "requests": {
+                    f"{job.fingerprint:016x}": (
+                        job.request_line[:MAX_LOGGED_BYTES].decode("latin-1")
+                    )
+                    for job in jobs[:MAX_LOGGED_REQUESTS]
+                },
+            },
+        )
+        self.metrics.count("server_crashes")
+        self.server.connect_failed()
+
     def record_speed(self, job: Job, seconds: float):
         """Compare the duration of a served request with the expected one.
 
@@ -280,7 +328,7 @@
         """Free the slot of a request and record how long it was in use."""
         if self.running.get(job.request_id) is job:
             del self.running[job.request_id]
-        self.meter.record_call(job.root_route, now - job.started)
+            self.meter.record_call(job.root_route, now - job.started)
 
     def schedule_dispatch(self):
         """Dispatch queued requests when the rate limit permits the next."""
--- a/flamingosail/proxy/job.py
+++ b/flamingosail/proxy/job.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from flamingosail.proxy.fingerprint import request_fingerprint
+
 __all__ = ["Job", "ServerReport"]
 
 
@@ -44,9 +46,10 @@
     server that got it, and ``stream`` the number of the call on its
     connection, 0 for a call of this node. Child calls are the calls that the
     server makes for this request: ``child_call_failed`` is set when one
-    failed, ``child_calls_succeeded`` counts the others. ``on_end`` is called
-    once as ``on_end(job, outcome, status, signature, head, body, reason)``,
-    unless ``Gate.cancel`` dropped the job; ``done`` is set in both cases.
+    failed, ``child_calls_succeeded`` counts the others. ``fingerprint``
+    is 0 until it is needed. ``on_end`` is called once as
+    ``on_end(job, outcome, status, signature, head, body, reason)``, unless
+    ``Gate.cancel`` dropped the job; ``done`` is set in both cases.
     """
 
     __slots__ = (
@@ -68,6 +71,7 @@
         "child_calls_succeeded",
         "done",
         "stream",
+        "fingerprint",
     )
 
     def __init__(
@@ -104,6 +108,15 @@
         self.child_calls_succeeded = 0
         self.done = False
         self.stream = stream
+        self.fingerprint = 0
+
+    def identify(self) -> int:
+        """Return the fingerprint of the request."""
+        if not self.fingerprint:
+            self.fingerprint = request_fingerprint(
+                self.request_line, self.head, self.body
+            )
+        return self.fingerprint
 
     def end(self):
         """Mark the job as done and drop what only a pending one needs.
--- a/flamingosail/proxy/serverpool.py
+++ b/flamingosail/proxy/serverpool.py
@@ -1,10 +1,13 @@
 """Pool of keep-alive connections to the backend server of this VM."""
 
 from collections import deque
+from collections.abc import Callable
 
 from logbook import Logger
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import ClientFactory
+from twisted.internet.protocol import Protocol
 
 from flamingosail.proxy.backendserver import ServerConnection
 from flamingosail.proxy.backendserver import ServerRequest
@@ -59,6 +62,31 @@
             self.send(request)
 
 
+class ProbeConnection(Protocol):
+    """A connection that is closed as soon as it is open."""
+
+    def connectionMade(self):  # noqa: N802 - named by twisted
+        """Report that the server accepts connections."""
+        self.factory.report(False)
+        self.transport.abortConnection()
+
+
+class Probe(ClientFactory):
+    """Opens a connection; tells ``report`` whether it was refused."""
+
+    noisy = False
+    protocol = ProbeConnection
+
+    def __init__(self, report: Callable[[bool], None]):
+        self.report = report
+
+    def clientConnectionFailed(  # noqa: N802 - named by twisted
+        self, connector, reason
+    ):
+        """Report a refusal; a timeout is none."""
+        self.report(reason.check(ConnectionRefusedError) is not None)
+
+
 class ServerPool:
     """Keeps connections to one address and reuses the last used one first.
 
@@ -103,6 +131,19 @@
             timeout=CONNECT_TIMEOUT_SECONDS,
         )
 
+    def probe(self, timeout: float, report: Callable[[bool], None]):
+        """Call ``report`` once with whether the server refuses connections.
+
+        ``timeout`` is in seconds.
+        """
+        self.connect_count += 1
+        self.reactor.connectTCP(
+            self.address.host,
+            self.address.port,
+            Probe(report),
+            timeout=timeout,
+        )
+
     def pop_idle(self, request: ServerRequest) -> ServerConnection | None:
         """Return an idle connection for a request, or None.
 
--- a/tests/proxyfakes.py
+++ b/tests/proxyfakes.py
@@ -58,11 +58,16 @@
 
     def __init__(self):
         self.sent = []
+        self.connections = set()
+        self.refuses = False
 
     def send(self, request):
         request.written = True
         self.sent.append(request)
 
+    def probe(self, timeout, report):
+        report(self.refuses)
+
     def close_idle(self):
         pass
 
