Do not send on a request that crashes servers

Cause: a crash was taken for trouble of the server alone. All requests that ran there were lost, and the entry node, the client and the next client sent them on; nothing remembered what had been there. The class: knowledge of a request had no owner, so that no node could have it and no path could obey it.

Evidence: with crashes logged the same request is among those of all 24 crashes, no other one among more than four.

Ruled out: counting crashes alone (a path that many ask for is nearly always among them, and requests that are retried together crash together); refusing all that was there (most of it is innocent); a status that promises "not run" (it asks the client for one more).

Change: the gate that sees a crash makes all requests that ran there suspects and tells all nodes before it reports the losses. A suspect runs at a server only while no other suspect runs there: an answer clears it, a second crash puts it in quarantine for 10 minutes, doubled by each further one. Gates check a request before each send to their server, entry nodes when it arrives and before each retry. Crashes are facts that add up in any order; they travel with the first message of each connection and with pings, so that a restarted node and both sides of a cut get them. A quarantined request gets 502 with a reason and without Retry-After. Operators list and lift quarantines on /quarantine.

--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -3,6 +3,7 @@
 from math import inf
 from random import Random
 
+from msgspec.json import encode
 from twisted.internet.interfaces import IReactorTime
 
 from flamingosail.proxy.balance import LoadBalancer
@@ -10,16 +11,21 @@
 from flamingosail.proxy.decisions import DecisionLog
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.exchange import Exchange
+from flamingosail.proxy.fingerprint import request_fingerprint
 from flamingosail.proxy.forwarding import Attempt
 from flamingosail.proxy.forwarding import ForwardedRequest
 from flamingosail.proxy.gate import CHILD_CALL_FAILED
+from flamingosail.proxy.gate import QUARANTINED
 from flamingosail.proxy.hop import Outcome
+from flamingosail.proxy.job import Job
 from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.overload import Admission
 from flamingosail.proxy.overload import LoadMeter
 from flamingosail.proxy.overload import LoadReport
 from flamingosail.proxy.overload import route_key
 from flamingosail.proxy.peers import PeerTable
+from flamingosail.proxy.quarantine import Quarantine
+from flamingosail.proxy.quarantine import Verdict
 from flamingosail.proxy.routes import ClientLimits
 from flamingosail.proxy.routes import RouteTable
 from flamingosail.proxy.routes import WeightedRoundRobin
@@ -44,6 +50,19 @@
 GATE_DEADLINE_MARGIN_SECONDS = 0.01
 
 
+# Tells the client why a request is not sent to a server (RFC 9457).
+PROBLEM_HEAD = b"Content-Type: application/problem+json\r\n"
+QUARANTINED_PROBLEM = encode(
+    {
+        "type": "urn:flamingosail:quarantined",
+        "title": "Request quarantined",
+        "status": 502,
+        "detail": "servers crashed while they ran this request; it is not"
+        " sent to another one, and repeating it does not help",
+    }
+)
+
+
 class Forwarder:
     """Handles the exchanges of clients; see ``exchange.ExchangeHandler``.
 
@@ -63,6 +82,7 @@
         meter: LoadMeter,
         metrics: NodeMetrics,
         budget: RetryBudget,
+        quarantine: Quarantine,
         own_service: str,
     ):
         self.clock = clock
@@ -85,6 +105,7 @@
         self.limits = ClientLimits()
         self.service_selector = WeightedRoundRobin()
         self.budget = budget
+        self.quarantine = quarantine
         self.timeouts = Timeouts(clock=clock, on_due=self.timed_out)
         self.in_flight = 0
         self.closed = False
@@ -163,13 +184,16 @@
         if exchange.timeout_ms is not None:
             wait = min(wait, exchange.timeout_ms / 1000)
         request.deadline = exchange.arrived_at + wait
-        if not self.admit(request):
-            return
         request.request_line = b"%s %s HTTP/1.1\r\n" % (
             exchange.method,
             exchange.target,
         )
         request.head = b"".join((*exchange.head, self.caller_service_header))
+        if self.is_quarantined(request):
+            self.reject_quarantined(request)
+            return
+        if not self.admit(request):
+            return
         self.budget.record_request(request.service)
         self.in_flight += 1
         self.timeouts.add(request.deadline, request)
@@ -182,9 +206,7 @@
         id of a call consists of its parent request's id, a dot and a suffix.
         """
         exchange, route = request.exchange, request.route
-        parent = self.peers.gate.running.get(
-            exchange.request_id.rpartition(b".")[0]
-        )
+        parent = self.parent_of(exchange)
         if parent is not None:
             request.root_route = parent.root_route
             # Even ranks are calls; they precede root requests of the same
@@ -223,6 +245,37 @@
             exchange.respond(503, self.retry_after_header(remaining), b"")
         return admitted
 
+    def parent_of(self, exchange: Exchange) -> Job | None:
+        """Return the request at our server that made this call, if any."""
+        return self.peers.gate.running.get(
+            exchange.request_id.rpartition(b".")[0]
+        )
+
+    def is_quarantined(self, request: ForwardedRequest) -> bool:
+        """Return whether a request is known to crash servers."""
+        if not self.quarantine.suspects:
+            return False
+        fingerprint = request_fingerprint(
+            request.request_line, request.head, request.exchange.body
+        )
+        return self.quarantine.verdict(fingerprint) is Verdict.QUARANTINED
+
+    def reject_quarantined(self, request: ForwardedRequest):
+        """Answer a request that no server may run, before it is admitted.
+
+        It did not run this time, but a status that says so would ask the
+        client to send it again.
+        """
+        request.done = True
+        self.metrics.count("requests_quarantined", request.route.name)
+        self.decisions.failure(
+            "quarantined", lambda: self.request_fields(request, QUARANTINED)
+        )
+        parent = self.parent_of(request.exchange)
+        if parent is not None:
+            parent.child_call_failed = True
+        request.exchange.respond(502, PROBLEM_HEAD, QUARANTINED_PROBLEM)
+
     def client_disconnected(self, exchange: Exchange):
         """Cancel the request of a client that disconnected."""
         request = exchange.request
@@ -244,6 +297,9 @@
         ``reason`` says why the previous attempt failed; it is empty for the
         first.
         """
+        if request.tried and self.is_quarantined(request):
+            self.fail_quarantined(request)
+            return
         server = self.next_server(request)
         remaining = (
             min(request.deadline, self.ends_at)
@@ -326,6 +382,8 @@
                 self.respond(request, status, head, body)
         elif outcome == Outcome.REFUSED:
             self.send(request, reason)
+        elif outcome == Outcome.QUARANTINED:
+            self.fail_quarantined(request)
         elif outcome == Outcome.SHED:
             request.rejected_by.append(server)
             if self.spend_retry_token(request):
@@ -422,6 +480,14 @@
         else:
             self.respond(request, 504 if remaining <= 0 else 502, b"", b"")
 
+    def fail_quarantined(self, request: ForwardedRequest):
+        """Answer a request that no other server may run."""
+        self.metrics.count("requests_quarantined", request.route.name)
+        self.decisions.failure(
+            "quarantined", lambda: self.request_fields(request, QUARANTINED)
+        )
+        self.respond(request, 502, PROBLEM_HEAD, QUARANTINED_PROBLEM)
+
     def reject_early(self, exchange: Exchange, reason: str):
         """Reject a request that was not counted as in flight.
 
--- a/flamingosail/proxy/forwarding.py
+++ b/flamingosail/proxy/forwarding.py
@@ -92,7 +92,7 @@
             self.server.record_outcome(
                 status >= 500 and reason != CHILD_CALL_FAILED
             )
-        elif outcome != Outcome.REFUSED:
+        elif outcome not in (Outcome.REFUSED, Outcome.QUARANTINED):
             self.server.record_outcome(True)
         request = self.request
         if request.attempt is self:
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -5,6 +5,7 @@
 did not run are therefore decided locally, without agreement between nodes.
 """
 
+from collections import deque
 from collections.abc import Callable
 from heapq import heappop
 from heapq import heappush
@@ -23,11 +24,13 @@
 from flamingosail.proxy.job import Job
 from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.overload import LoadMeter
+from flamingosail.proxy.quarantine import Quarantine
+from flamingosail.proxy.quarantine import Verdict
 from flamingosail.proxy.serverpool import ServerPool
 from flamingosail.proxy.serverstate import ServerState
 from flamingosail.proxy.timeouts import Timeouts
 
-__all__ = ["CHILD_CALL_FAILED", "Gate"]
+__all__ = ["CHILD_CALL_FAILED", "Gate", "QUARANTINED"]
 
 # Less time than this does not cover a round trip to the server and the
 # shortest work.
@@ -53,6 +56,9 @@
 # of the server that names the request, they are not passed on.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+# A server may run a request on for a moment after its connection was closed.
+ABANDONED_SECONDS = 1.0
+MAX_ABANDONED = 64
 # Limits of the log line about a crash.
 MAX_LOGGED_REQUESTS = 64
 MAX_LOGGED_BYTES = 200
@@ -63,10 +69,13 @@
     Outcome.REFUSED: "refused",
     Outcome.LOST: "lost",
     Outcome.SHED: "shed",
+    Outcome.QUARANTINED: "quarantined",
 }
 # Reason sent with an error response if a call that the server made for the
 # request failed; the calling node does not count it against the server.
 CHILD_CALL_FAILED = "a call of the server failed"
+# Reason of requests that are not sent because servers crashed that ran them.
+QUARANTINED = "the request crashes servers"
 
 log = Logger("proxy.gate")
 
@@ -79,7 +88,9 @@
     known. ``queue`` is a heap ordered by rank, deadline and arrival,
     ``waiting`` the number of its jobs that were neither cancelled nor timed
     out, and ``paced_dispatch`` the timer that sends the next of them under a
-    rate limit of the server.
+    rate limit of the server. ``suspect`` is the request at the server that ran
+    when a server crashed, if any, and ``held`` are those that wait for its
+    end. ``abandoned`` are requests whose connection was closed, with the time.
     """
 
     def __init__(
@@ -91,12 +102,17 @@
         dialect: Dialect,
         meter: LoadMeter,
         metrics: NodeMetrics,
+        quarantine: Quarantine,
         expected_seconds: Callable[[int, str], float | None],
     ):
         self.clock = clock
+        self.quarantine = quarantine
         self.crash_watch = CrashWatch(
             clock=clock, pool=pool, on_result=self.handle_lost
         )
+        self.suspect: Job | None = None
+        self.held: list[Job] = []
+        self.abandoned: deque[tuple[float, Job]] = deque(maxlen=MAX_ABANDONED)
         self.server = server
         self.expected_seconds = expected_seconds
         self.pool = pool
@@ -157,14 +173,45 @@
             self.fail(job, Outcome.REFUSED, reason)
             return
         if not self.waiting and self.can_dispatch():
-            self.dispatch(job)
+            self.dispatch_unless_suspect(job)
             return
+        self.enqueue(job)
+        self.timeouts.add(job.deadline - MIN_REMAINING_SECONDS, job)
+        self.schedule_dispatch()
+
+    def enqueue(self, job: Job):
+        """Add a request to the queue."""
         heappush(
             self.queue, (job.rank, job.deadline, next(self.arrivals), job)
         )
         self.waiting += 1
-        self.timeouts.add(job.deadline - MIN_REMAINING_SECONDS, job)
-        self.schedule_dispatch()
+
+    def dispatch_unless_suspect(self, job: Job):
+        """Send a request to the server, if no crash speaks against it.
+
+        Two suspects never run at the same time: if the server crashed, it
+        would not be known which of them is to blame.
+        """
+        if not self.quarantine.suspects:
+            self.dispatch(job)
+            return
+        verdict = self.quarantine.verdict(job.identify())
+        if verdict is Verdict.QUARANTINED:
+            self.fail(job, Outcome.QUARANTINED, QUARANTINED)
+        elif verdict is Verdict.CLEAR:
+            self.dispatch(job)
+        elif self.suspect is None:
+            job.is_suspect = True
+            self.suspect = job
+            self.dispatch(job)
+        elif (
+            len(self.held) + 1
+        ) * self.service_seconds > job.deadline - self.clock.seconds():
+            self.fail(job, Outcome.REFUSED, "too many suspects wait")
+        else:
+            job.held = True
+            self.held.append(job)
+            self.timeouts.add(job.deadline - MIN_REMAINING_SECONDS, job)
 
     def refusal_reason(self, job: Job) -> str:
         """Return why a request is refused; empty if it is accepted."""
@@ -266,6 +313,8 @@
             self.service_seconds += SERVICE_TIME_SMOOTHING * (
                 seconds - self.service_seconds
             )
+            if response.status < 500 and self.quarantine.suspects:
+                self.quarantine.clear(job.identify(), reason="answered")
             if response.status < 500 and not job.child_call_failed:
                 self.record_speed(job, seconds)
             self.finish(
@@ -286,7 +335,7 @@
         """
         crashed = crashed and self.server.draining_since is None
         if crashed:
-            self.record_crash(jobs)
+            self.record_crash([*jobs, *self.recently_abandoned()])
         for job in jobs:
             if not job.done:
                 self.fail(
@@ -297,7 +346,18 @@
         self.dispatch_queued()
 
     def record_crash(self, jobs: list[Job]):
-        """Record which requests ran at the server when it crashed."""
+        """Record which requests ran at the server when it crashed.
+
+        A request that was sent as a suspect is to blame if no other one was
+        known as a suspect by then.
+        """
+        known = {
+            job.fingerprint
+            for job in jobs
+            if job.fingerprint in self.quarantine.suspects
+        }
+        retried = {job.fingerprint for job in jobs if job.is_suspect}
+        blamed = next(iter(known)) if known == retried and known else None
         incarnation = jobs[0].incarnation
         log.warning(
             "server crashed",
@@ -310,11 +370,26 @@
                     )
                     for job in jobs[:MAX_LOGGED_REQUESTS]
                 },
+                "blamed": blamed and f"{blamed:016x}",
             },
         )
         self.metrics.count("server_crashes")
+        self.quarantine.record_crash(
+            incarnation, {job.fingerprint for job in jobs}, blamed
+        )
         self.server.connect_failed()
 
+    def abandon(self, job: Job):
+        """Close the connection of a request; the server may still run it."""
+        job.identify()
+        self.abandoned.append((self.clock.seconds(), job))
+        job.request.abandon()
+
+    def recently_abandoned(self) -> list[Job]:
+        """Return requests that the server may still have been running."""
+        cutoff = self.clock.seconds() - ABANDONED_SECONDS
+        return [job for at, job in self.abandoned if at >= cutoff]
+
     def record_speed(self, job: Job, seconds: float):
         """Compare the duration of a served request with the expected one.
 
@@ -329,6 +404,13 @@
         if self.running.get(job.request_id) is job:
             del self.running[job.request_id]
             self.meter.record_call(job.root_route, now - job.started)
+        if self.suspect is job:
+            self.suspect = None
+            held, self.held = self.held, []
+            for waiting in held:
+                if not waiting.done:
+                    waiting.held = False
+                    self.enqueue(waiting)
 
     def schedule_dispatch(self):
         """Dispatch queued requests when the rate limit permits the next."""
@@ -364,7 +446,7 @@
             elif job.deadline - self.clock.seconds() < MIN_REMAINING_SECONDS:
                 self.fail(job, Outcome.REFUSED, "the time is over")
             else:
-                self.dispatch(job)
+                self.dispatch_unless_suspect(job)
 
     def refuse_queued(self, reason: str):
         """Refuse the requests that were not sent to the server."""
@@ -373,20 +455,31 @@
             if not job.done:
                 self.waiting -= 1
                 self.fail(job, Outcome.REFUSED, reason)
+        held, self.held = self.held, []
+        for job in held:
+            if not job.done:
+                self.fail(job, Outcome.REFUSED, reason)
 
     def handle_timeout(self, job: Job):
         """End a queued or dispatched request whose time is over."""
         if job.request is None:
-            self.waiting -= 1
+            self.remove_waiting(job)
             self.fail(job, Outcome.REFUSED, "the time is over")
         elif job.deadline + RESPONSE_GRACE_SECONDS <= self.clock.seconds():
             self.release_slot(job, self.clock.seconds())
             written = job.request.written
-            job.request.abandon()
+            self.abandon(job)
             outcome = Outcome.LOST if written else Outcome.REFUSED
             self.fail(job, outcome, "the server did not answer in time")
             self.dispatch_queued()
 
+    def remove_waiting(self, job: Job):
+        """Remove a request that is queued or held."""
+        if job.held:
+            self.held.remove(job)
+        else:
+            self.waiting -= 1
+
     def cancel(self, job: Job):
         """Drop a request that was cancelled.
 
@@ -396,11 +489,11 @@
         if job.done:
             return
         if job.request is None:
+            self.remove_waiting(job)
             job.end()
-            self.waiting -= 1
         elif job.idempotent or not job.request.written:
             self.release_slot(job, self.clock.seconds())
-            job.request.abandon()
+            self.abandon(job)
             job.end()
             self.dispatch_queued()
 
--- a/flamingosail/proxy/hop.py
+++ b/flamingosail/proxy/hop.py
@@ -18,9 +18,12 @@
 __all__ = [
     "Call",
     "Cancel",
+    "Clearance",
     "ConfigCopy",
     "ConfigPull",
+    "CrashEvidence",
     "DomainLoad",
+    "Evidence",
     "FrameBuffer",
     "HeaderTable",
     "Hello",
@@ -48,13 +51,15 @@
 
     ANSWERED: the server responded. REFUSED: the request was not sent to the
     server. LOST: the server may have run it. SHED: the server itself rejected
-    it before running it.
+    it before running it. QUARANTINED: the request was not sent to the server,
+    and may not be sent to another one, because servers crashed that ran it.
     """
 
     ANSWERED = 0
     REFUSED = 1
     LOST = 2
     SHED = 3
+    QUARANTINED = 4
 
 
 class Call(Struct, tag=1, array_like=True, gc=False):
@@ -109,16 +114,50 @@
     stream: int
 
 
+class CrashEvidence(Struct, array_like=True, gc=False):
+    """A crash of a backend server, with the requests that ran there.
+
+    ``instance`` and ``start_ms`` identify the server process, ``age_ms`` is
+    how long ago it crashed. ``alone`` has the fingerprint of the request that
+    was the only one there with earlier crashes, ``suspects`` those of the
+    others.
+    """
+
+    instance: str
+    start_ms: int
+    age_ms: int
+    suspects: list[int]
+    alone: list[int]
+
+
+class Clearance(Struct, array_like=True, gc=False):
+    """A request was answered, or an operator has cleared it, so long ago."""
+
+    fingerprint: int
+    age_ms: int
+
+
+class Evidence(Struct, array_like=True, gc=False):
+    """What a node knows of requests that crash servers."""
+
+    crashes: list[CrashEvidence]
+    clearances: list[Clearance]
+
+
 class Ping(Struct, tag=4, array_like=True, gc=False):
     """Requests a Pong; carries the sender's configuration version.
 
     ``report`` is None between failure domains. ``store_era`` is the newest era
-    of the metadata store that the sender knows of.
+    of the metadata store that the sender knows of. ``evidence_digest`` is
+    equal at nodes with the same evidence; ``evidence`` is None if the receiver
+    is not known to lack a part of it.
     """
 
     config_version: int
     report: LoadReport | None
     store_era: int = 0
+    evidence_digest: int = 0
+    evidence: Evidence | None = None
 
 
 class ServerTerms(Struct, array_like=True, gc=False):
@@ -163,7 +202,8 @@
 
     ``reaches_store`` is false if the sender's last call to the metadata store
     failed. ``slowness_percent`` is how long its server takes for a request,
-    compared with the mean of its service, ``store_era`` as in ``Ping``.
+    compared with the mean of its service, the fields from ``store_era`` on
+    are those of ``Ping``.
     """
 
     running: int
@@ -173,6 +213,8 @@
     reaches_store: bool = True
     slowness_percent: int = 100
     store_era: int = 0
+    evidence_digest: int = 0
+    evidence: Evidence | None = None
 
 
 class Hello(Struct, tag=7, array_like=True, gc=False):
@@ -180,12 +222,14 @@
 
     ``terms`` are those that the receiver last announced for its own server,
     None if it announced none: the receiver may have restarted since.
+    ``evidence`` is None if the sender has none.
     """
 
     node: str
     failure_domain: str
     address: str
     terms: ServerTerms | None = None
+    evidence: Evidence | None = None
 
 
 class ConfigPull(Struct, tag=8, array_like=True, gc=False):
--- a/flamingosail/proxy/hopconnection.py
+++ b/flamingosail/proxy/hopconnection.py
@@ -11,6 +11,7 @@
 from flamingosail.proxy.hop import ConfigPull
 from flamingosail.proxy.hop import DomainLoad
 from flamingosail.proxy.hop import encode_frame
+from flamingosail.proxy.hop import Evidence
 from flamingosail.proxy.hop import FrameBuffer
 from flamingosail.proxy.hop import HeaderTable
 from flamingosail.proxy.hop import Hello
@@ -33,6 +34,9 @@
 # If nothing arrives within this time after a ping, the connection is closed
 # and its calls are lost.
 PING_TIMEOUT_SECONDS = 2.0
+# Evidence of crashes is sent again after this time to a node that has got it
+# and still differs: times of facts may have been shifted on their way.
+RESEND_EVIDENCE_SECONDS = 30.0
 
 log = Logger("proxy.peers")
 
@@ -40,7 +44,9 @@
 class HopProtocol(Protocol):
     """Framing and header compression; the base class of both ends.
 
-    ``table`` is the PeerTable of this node.
+    ``table`` is the PeerTable of this node. ``sent_digest`` is the digest of
+    the evidence that was last sent, at ``sent_at``. ``peer_differs`` says that
+    the last message of the other node had a digest other than ours.
     """
 
     def __init__(self, *, table):
@@ -48,6 +54,9 @@
         self.frames = FrameBuffer()
         self.sent_headers = HeaderTable()
         self.received_headers = HeaderTable()
+        self.sent_digest = 0
+        self.sent_at = 0.0
+        self.peer_differs = False
         self.open = False
 
     def connectionMade(self):  # noqa: N802 - named by twisted
@@ -55,6 +64,7 @@
         self.open = True
         disable_nagle(self.transport)
         detect_dead_peer(self.transport)
+        self.mark_evidence_sent()
         self.send(self.hello())
 
     def hello(self) -> Hello:
@@ -76,6 +86,29 @@
             log.warning("peer sent garbage", extra={"cause": str(error)})
             self.transport.abortConnection()
 
+    def unsent_evidence(self) -> Evidence | None:
+        """Return the evidence if the other node lacks it, to be sent."""
+        elapsed = self.table.clock.seconds() - self.sent_at
+        if not self.peer_differs or (
+            self.sent_digest == self.table.quarantine.digest
+            and elapsed < RESEND_EVIDENCE_SECONDS
+        ):
+            return None
+        self.mark_evidence_sent()
+        return self.table.quarantine.evidence()
+
+    def mark_evidence_sent(self):
+        """Record that the other node gets all evidence of this node."""
+        self.sent_digest = self.table.quarantine.digest
+        self.sent_at = self.table.clock.seconds()
+
+    def handle_evidence(self, message: Ping | Pong):
+        """Add the evidence of the other node."""
+        quarantine = self.table.quarantine
+        if message.evidence is not None:
+            quarantine.merge(message.evidence)
+        self.peer_differs = message.evidence_digest != quarantine.digest
+
     def mark_alive(self):
         """Handle the arrival of data; does nothing by default."""
 
@@ -125,6 +158,7 @@
             if job is not None:
                 self.table.gate.cancel(job)
         elif kind is Ping:
+            self.handle_evidence(message)
             gate = self.table.gate
             self.send(
                 Pong(
@@ -135,6 +169,8 @@
                     self.table.reaches_store,
                     round(100 * gate.server.speed.slowness()),
                     self.table.store_era.number,
+                    self.table.quarantine.digest,
+                    self.unsent_evidence(),
                 )
             )
             self.table.store_era.observe(message.store_era, source="peer")
@@ -152,6 +188,8 @@
             self.failure_domain = message.failure_domain
             if message.terms is not None:
                 self.table.gate.server.recall(message.terms)
+            if message.evidence is not None:
+                self.table.quarantine.merge(message.evidence)
             self.table.handle_hello(message)
         elif kind is ConfigPull:
             self.table.send_config(self, message.version)
@@ -271,6 +309,7 @@
             peer.update_load(
                 message.running, message.waiting, message.capacity
             )
+            self.handle_evidence(message)
             peer.reaches_store = message.reaches_store
             peer.slowness = message.slowness_percent / 100
             self.table.store_era.observe(message.store_era, source="peer")
@@ -280,6 +319,8 @@
             self.table.pull_newer_config(message.config_version, self)
         elif kind is Hello:
             peer.handle_hello(message)
+            if message.evidence is not None:
+                self.table.quarantine.merge(message.evidence)
         elif kind is ConfigPull:
             self.table.send_config(self, message.version)
         elif kind is ConfigCopy:
@@ -315,8 +356,16 @@
             self.ping(now)
         return True
 
-    def ping(self, now: float):
-        """Request the peer's load; near peers also get the load report."""
+    def announce_evidence(self, news: Evidence):
+        """Send new facts to a peer that is taken to have the older ones."""
+        self.mark_evidence_sent()
+        self.ping(self.sent_at, news)
+
+    def ping(self, now: float, news: Evidence | None = None):
+        """Request the peer's load; near peers also get the load report.
+
+        A peer whose evidence differs gets ours, or the given news.
+        """
         self.last_ping_at = now
         if self.unanswered_since is None:
             self.unanswered_since = now
@@ -326,5 +375,7 @@
                 self.table.config_version(),
                 report,
                 self.table.store_era.number,
+                self.table.quarantine.digest,
+                news or self.unsent_evidence(),
             )
         )
--- a/flamingosail/proxy/job.py
+++ b/flamingosail/proxy/job.py
@@ -46,10 +46,12 @@
     server that got it, and ``stream`` the number of the call on its
     connection, 0 for a call of this node. Child calls are the calls that the
     server makes for this request: ``child_call_failed`` is set when one
-    failed, ``child_calls_succeeded`` counts the others. ``fingerprint``
-    is 0 until it is needed. ``on_end`` is called once as
-    ``on_end(job, outcome, status, signature, head, body, reason)``, unless
-    ``Gate.cancel`` dropped the job; ``done`` is set in both cases.
+    failed, ``child_calls_succeeded`` counts the others. ``is_suspect`` says
+    that servers had crashed that ran it when it was sent, ``fingerprint`` is 0
+    until it is needed, and ``held`` is set while a suspect waits for another
+    one to end. ``on_end`` is called
+    once as ``on_end(job, outcome, status, signature, head, body, reason)``,
+    unless ``Gate.cancel`` dropped the job; ``done`` is set in both cases.
     """
 
     __slots__ = (
@@ -72,6 +74,8 @@
         "done",
         "stream",
         "fingerprint",
+        "is_suspect",
+        "held",
     )
 
     def __init__(
@@ -109,6 +113,8 @@
         self.done = False
         self.stream = stream
         self.fingerprint = 0
+        self.is_suspect = False
+        self.held = False
 
     def identify(self) -> int:
         """Return the fingerprint of the request."""
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -20,6 +20,7 @@
 from flamingosail.proxy.overload import LoadMeter
 from flamingosail.proxy.overload import LoadReport
 from flamingosail.proxy.peers import PeerTable
+from flamingosail.proxy.quarantine import Quarantine
 from flamingosail.proxy.routes import RouteTable
 from flamingosail.proxy.servercheck import ServerCheck
 from flamingosail.proxy.serverpool import ServerPool
@@ -102,10 +103,15 @@
         buffer_limit = int(config.memory_bytes * BUFFERED_MEMORY_SHARE)
         self.meter = LoadMeter(clock=reactor)
         self.metrics = NodeMetrics()
+        self.quarantine = Quarantine(
+            clock=reactor,
+            on_change=lambda news: self.peers.announce_evidence(news),
+        )
         self.gate = Gate(
             clock=reactor,
             meter=self.meter,
             metrics=self.metrics,
+            quarantine=self.quarantine,
             pool=ServerPool(
                 reactor=reactor,
                 dialect=dialect,
@@ -170,6 +176,7 @@
                 ratio=config.retry_ratio,
                 minimum=config.retry_minimum,
             ),
+            quarantine=self.quarantine,
             own_service=config.service,
         )
         self.clients = ClientListener(
@@ -198,6 +205,7 @@
             ),
             config_version=self.config_version,
             store_era=lambda: self.peers.store_era.number,
+            suspects=lambda: len(self.quarantine.suspects),
             store_reader=lambda: int(self.peers.was_store_reader),
             server_slowness=self.gate.server.speed.slowness,
             buffered_request_bytes=lambda: self.clients.buffered_body_bytes,
@@ -216,6 +224,7 @@
             config.name,
             config.failure_domain,
             str(config.advertised),
+            evidence=self.quarantine.evidence(),
         )
 
     def status(self) -> Status:
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -16,6 +16,7 @@
 from flamingosail.proxy.hop import ConfigCopy
 from flamingosail.proxy.hop import ConfigPull
 from flamingosail.proxy.hop import DomainLoad
+from flamingosail.proxy.hop import Evidence
 from flamingosail.proxy.hop import Hello
 from flamingosail.proxy.hopconnection import HopProtocol
 from flamingosail.proxy.hopconnection import InboundConnection
@@ -84,6 +85,7 @@
         self.reactor = reactor
         self.clock = reactor
         self.gate = gate
+        self.quarantine = gate.quarantine
         self.local = local
         self.own_address = own_address
         self.hello = hello
@@ -130,6 +132,7 @@
     def tick(self):
         """Ping or dial each peer and exchange load reports."""
         now = self.clock.seconds()
+        self.quarantine.expire()
         self.own_report = self.load_report()
         self.local.refresh()
         for peer in list(self.peers.values()):
@@ -255,6 +258,12 @@
         for connection in list(self.inbound):
             connection.send(status)
 
+    def announce_evidence(self, news: Evidence):
+        """Tell all peers what this node has found out about requests."""
+        for peer in self.peers.values():
+            if peer.connection is not None:
+                peer.connection.announce_evidence(news)
+
     def announce_config(self):
         """Tell the near peers that this node has a newer configuration.
 
--- a/tests/proxyfakes.py
+++ b/tests/proxyfakes.py
@@ -12,6 +12,7 @@
 from flamingosail.proxy.job import ServerReport
 from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.overload import LoadMeter
+from flamingosail.proxy.quarantine import Quarantine
 from flamingosail.proxy.routes import Route
 from flamingosail.proxy.routes import WeightedService
 from flamingosail.proxy.serverstate import ServerState
@@ -94,6 +95,7 @@
         dialect=DIALECT,
         meter=LoadMeter(clock=clock),
         metrics=NodeMetrics(),
+        quarantine=Quarantine(clock=clock, on_change=lambda news: None),
         server=ServerState(
             clock=clock,
             drain_seconds=2.0,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,6 +12,7 @@
 from flamingosail_platform.dialect import DIALECT
 from flamingosail_platform.settings import parse_platform_settings
 from flamingosail_platform.settings import read_platform_settings
+from msgspec.json import decode
 from msgspec.json import encode
 from testtools import ExpectedException
 from testtools import TestCase
@@ -201,6 +202,7 @@
 
     def respond(self, status, headers, body, **options):
         self.status = status
+        self.body = body
 
 
 class ControlTest(TestCase):
@@ -289,6 +291,19 @@
         self.assertEqual(200, self.send_heartbeat())
         encode_frame(self.node.status())
 
+    def test_an_operator_lists_and_lifts_a_quarantine(self):
+        quarantine = self.node.quarantine
+        quarantine.record_crash(("i-1", 1), [255], None)
+        quarantine.record_crash(("i-2", 1), [255], 255)
+        connection = FakeConnection()
+        self.control.handle(connection, b"GET", b"/quarantine", [], b"")
+        self.assertEqual("quarantined", decode(connection.body)[0]["verdict"])
+        for name, status in (("ff", 200), ("ff", 404), ("x", 404)):
+            path = f"/quarantine/{name}".encode()
+            self.control.handle(connection, b"DELETE", path, [], b"")
+            self.assertEqual(status, connection.status)
+        self.assertEqual(set(), quarantine.suspects)
+
     def test_a_deregistration_before_the_first_heartbeat_counts(self):
         path = "/v1/Instances.Deregister/i-1"
         self.assertEqual(200, self.post(path, {"born": 1000}))
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -12,6 +12,7 @@
 from flamingosail_platform.store import encode_record
 from flamingosail_platform.store import Record
 from platform_standins.server import ENDLESS
+from platform_standins.server import EXIT_CRASHED
 from testtools import TestCase
 
 from experiments.platformcluster import Cluster
@@ -24,10 +25,15 @@
 RESTORED_SECONDS = 3.0 + 2.0
 
 
-def call(port: int, path: str, *, body=None, headers=None) -> tuple:
+def call(
+    port: int, path: str, *, body=None, headers=None, method=None
+) -> tuple:
     """Return status, headers and body of one request."""
     request = urllib.request.Request(
-        f"http://{HOST}:{port}{path}", data=body, headers=headers or {}
+        f"http://{HOST}:{port}{path}",
+        data=body,
+        headers=headers or {},
+        method=method,
     )
     try:
         with urllib.request.urlopen(request, timeout=5) as response:
@@ -255,3 +261,58 @@
             )
         )
         self.assertEqual({4}, self.gauges("config_version"))
+
+
+class DeadlyRequestTest(ClusterTest):
+    """No request may crash server after server."""
+
+    layout = {"front": 3, "deep": 1}
+
+    def restart_crashed(self) -> int:
+        """Start the servers that have crashed; return how many crashed."""
+        for name in self.cluster.vms:
+            process = self.cluster.processes[f"server-{name}"]
+            if process.poll() == EXIT_CRASHED:
+                self.cluster.start_server(name)
+        return sum(
+            self.cluster.output(f"server-{name}").count("CRASH")
+            for name in self.cluster.vms
+        )
+
+    def send_deadly(self, vm, number: int) -> tuple:
+        return self.request(vm, "/read/deadly", f"deadly-{number}")
+
+    def test_a_request_that_crashes_servers_is_refused_by_all_nodes(self):
+        """Guards against a request that ends server after server.
+
+        It comes again under other ids, at each node, also at one that has
+        just restarted.
+        """
+        self.wait_until_served()
+        vms = list(self.cluster.vms.values())
+        for number in range(12):
+            self.send_deadly(vms[number % len(vms)], number)
+            time.sleep(0.3)
+            self.restart_crashed()
+        self.assertIn(self.restart_crashed(), (2, 3))
+        restarted = vms[0]
+        self.cluster.signal(f"node-{restarted.name}", signal.SIGKILL)
+        self.cluster.processes[f"node-{restarted.name}"].wait()
+        self.cluster.start_node(restarted.name)
+        self.wait_until_served()
+        for number, vm in enumerate(vms):
+            status, headers, body = self.send_deadly(vm, 100 + number)
+            self.assertEqual(502, status)
+            self.assertIsNone(headers["Retry-After"])
+            self.assertIn(b"quarantined", body)
+        self.assertIn(self.restart_crashed(), (2, 3))
+        # An operator lifts it at one node, for all of them.
+        path = "/quarantine"
+        entry = json.loads(call(vms[1].metrics, path)[2])[0]
+        call(vms[1].metrics, f"{path}/{entry['fingerprint']}", method="DELETE")
+        self.wait_until(
+            lambda: all(
+                entry["fingerprint"].encode() not in call(vm.metrics, path)[2]
+                for vm in vms
+            )
+        )
--- a/tests/test_proxy_forward.py
+++ b/tests/test_proxy_forward.py
@@ -10,6 +10,7 @@
 from flamingosail.proxy.balance import ServerGroup
 from flamingosail.proxy.budget import RetryBudget
 from flamingosail.proxy.exchange import Exchange
+from flamingosail.proxy.fingerprint import request_fingerprint
 from flamingosail.proxy.forward import Forwarder
 from flamingosail.proxy.gate import CHILD_CALL_FAILED
 from flamingosail.proxy.hop import Outcome
@@ -75,8 +76,8 @@
         self.responses.append((int(head.split()[1]), head, body))
 
 
-class ForwarderTest(TestCase):
-    """Guards response statuses and the limits on attempts per request."""
+class ForwarderFixture(TestCase):
+    """A forwarder with two servers and a client."""
 
     def setUp(self):
         super().setUp()
@@ -104,6 +105,7 @@
             meter=LoadMeter(clock=self.clock),
             metrics=NodeMetrics(),
             budget=RetryBudget(clock=self.clock, ratio=0.1, minimum=5.0),
+            quarantine=self.peers.gate.quarantine,
             own_service="front",
         )
         self.routes = {
@@ -129,6 +131,10 @@
     def statuses(self):
         return [response[0] for response in self.client.responses]
 
+
+class ForwarderTest(ForwarderFixture):
+    """Guards response statuses and the limits on attempts per request."""
+
     def test_servers_of_our_failure_domain_are_preferred(self):
         for _ in range(5):
             self.submit()
@@ -296,3 +302,60 @@
             self.forwarder.service_selector.choose(split) for _ in range(200)
         ]
         self.assertEqual(180, names.count("a"))
+
+
+class QuarantinedRequestTest(ForwarderFixture):
+    """Guards against a request that goes from one crashed server to the next.
+
+    The client must neither be told when to come back nor that it did not run.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.quarantine = self.peers.gate.quarantine
+
+    def convict(self, target=b"/read/1"):
+        line = b"GET %s HTTP/1.1\r\n" % target
+        fingerprint = request_fingerprint(line, b"", b"")
+        for instance in ("i-1", "i-2"):
+            self.quarantine.record_crash(
+                (instance, 1), [fingerprint], fingerprint
+            )
+
+    def assert_quarantined(self):
+        status, head, body = self.client.responses[-1]
+        self.assertEqual(502, status)
+        self.assertNotIn(b"Retry-After", head)
+        self.assertIn(b"urn:flamingosail:quarantined", body)
+
+    def test_it_is_not_sent_to_a_server(self):
+        for target in (b"/read/1", b"/order/1"):
+            self.convict(target)
+            self.submit(target=target)
+            self.assert_quarantined()
+        self.assertEqual([], self.same_domain.calls)
+        self.assertEqual(0, self.forwarder.in_flight)
+        self.submit(target=b"/read/2")
+        self.assertEqual(1, len(self.same_domain.calls))
+
+    def test_a_call_of_a_server_fails_its_parent(self):
+        parent = make_job([], request_id=b"parent")
+        self.peers.gate.running[b"parent"] = parent
+        self.convict()
+        self.submit(request_id=b"parent.1")
+        self.assert_quarantined()
+        self.assertTrue(parent.child_call_failed)
+
+    def test_a_refusal_of_another_node_is_final(self):
+        self.submit()
+        self.same_domain.end(Outcome.QUARANTINED)
+        self.assert_quarantined()
+        self.assertEqual([], self.other_domain.calls)
+        self.assertEqual(0.0, self.same_domain.failure_rate)
+
+    def test_it_is_not_retried_after_the_crash_that_it_is_blamed_for(self):
+        self.submit()
+        self.convict()
+        self.same_domain.end(Outcome.LOST)
+        self.assert_quarantined()
+        self.assertEqual([], self.other_domain.calls)
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -9,8 +9,10 @@
 from flamingosail.proxy.balance import LoadBalancer
 from flamingosail.proxy.hop import Call
 from flamingosail.proxy.hop import ConfigPull
+from flamingosail.proxy.hop import CrashEvidence
 from flamingosail.proxy.hop import DomainLoad
 from flamingosail.proxy.hop import encode_frame
+from flamingosail.proxy.hop import Evidence
 from flamingosail.proxy.hop import FrameBuffer
 from flamingosail.proxy.hop import Hello
 from flamingosail.proxy.hop import Ping
@@ -24,6 +26,7 @@
 from flamingosail.proxy.peer import Peer
 from flamingosail.proxy.peers import PeerTable
 from flamingosail.proxy.peers import TICK_SECONDS
+from flamingosail.proxy.quarantine import Verdict
 from flamingosail.proxy.servers import LocalServer
 from flamingosail.settings import Address
 from tests.proxyfakes import ClosingTransport
@@ -200,6 +203,62 @@
         sent = self.run_for(2.0, peer)[peer]
         self.assertEqual(2, sent[-1].store_era)
 
+    def test_a_crash_is_announced_to_all_peers_at_once(self):
+        """Guards against nodes that send on what has crashed a server."""
+        near = self.connect("10.0.0.1", "fd-a")
+        far = self.connect("10.0.0.2", "fd-b")
+        quarantine = self.table.quarantine
+        quarantine.on_change = self.table.announce_evidence
+        quarantine.record_crash(("i-1", 1), [7, 8], None)
+        for peer in (near, far):
+            crash = self.pop_sent(peer, Ping)[-1].evidence.crashes[0]
+            self.assertEqual([7, 8], crash.suspects)
+        # The same evidence is not sent again.
+        for pings in self.run_for(3.0, near, far).values():
+            self.assertEqual({None}, {ping.evidence for ping in pings})
+
+    def test_evidence_of_a_crash_is_passed_on(self):
+        """Guards against a cut between the node that knows and another."""
+        knows = self.connect("10.0.0.1", "fd-a")
+        lacks = self.connect("10.0.0.2", "fd-b")
+        evidence = Evidence([CrashEvidence("i-1", 1, 50, [7], [8])], [])
+        digest = self.digest_of(evidence)
+        self.receive(knows, Pong(0, 0, 10, 1, True, 100, 0, digest, evidence))
+        self.assertEqual(digest, self.table.quarantine.digest)
+        pings = self.run_for(1.5, knows, lacks)
+        self.assertEqual(evidence.crashes[0].alone, [8])
+        passed_on = [ping.evidence for ping in pings[lacks] if ping.evidence]
+        self.assertEqual(1, len(passed_on))
+        self.assertEqual([8], passed_on[0].crashes[0].alone)
+        # The node that told it does not get it back.
+        self.assertIsNone(pings[knows][0].evidence)
+
+    def digest_of(self, evidence: Evidence) -> int:
+        quarantine = make_gate(self.clock).quarantine
+        quarantine.merge(evidence)
+        return quarantine.digest
+
+    def test_a_new_connection_begins_with_the_evidence(self):
+        """Guards against a restarted node that runs what others refuse."""
+        self.table.hello = lambda: Hello(
+            "own", "fd-a", str(OWN), None, self.table.quarantine.evidence()
+        )
+        self.table.quarantine.record_crash(("i-1", 1), [7], None)
+        peer = self.connect("10.0.0.1", "fd-a")
+        hello = self.pop_sent(peer, Hello)[0]
+        self.assertEqual([7], hello.evidence.crashes[0].suspects)
+        self.receive(
+            peer,
+            Hello(
+                "peer",
+                "fd-a",
+                "10.0.0.1:80",
+                None,
+                Evidence([CrashEvidence("i-2", 1, 50, [], [7])], []),
+            ),
+        )
+        self.assertIs(Verdict.QUARANTINED, self.table.quarantine.verdict(7))
+
     def test_a_configuration_is_pulled_from_near_peers_first(self):
         """One reader would otherwise send it to all failure domains."""
         near = self.connect("10.0.0.1", "fd-a")
