Count a crash whose clients had all left

What callers would see: a request whose clients leave before the server has crashed is never among the lost requests, so it is never blamed, and ends server after server.

Cause: a gate forgot a request with its connection, although the server may run it on for a moment, and only lost requests made it look for a crash.

Change: requests whose connection the gate has closed within the last second are among those that ran at a crash, and are blamed if no lost one can be. If there are such requests, a refused connection makes the gate look for a crash as well.

--- a/flamingosail/proxy/crashwatch.py
+++ b/flamingosail/proxy/crashwatch.py
@@ -38,6 +38,7 @@
         self.pool = pool
         self.on_result = on_result
         self.lost: list[Job] = []
+        self.probing = False
 
     def add(self, job: Job):
         """Add a request whose connection ended without a response."""
@@ -47,12 +48,16 @@
 
     def check(self):
         """Probe the server if it has closed all connections."""
+        if self.probing:
+            return
         if self.pool.connections:
             self.finish(False)
         else:
+            self.probing = True
             self.pool.probe(PROBE_TIMEOUT_SECONDS, self.finish)
 
     def finish(self, crashed: bool):
         """Report the requests that were lost meanwhile."""
+        self.probing = False
         lost, self.lost = self.lost, []
         self.on_result(lost, crashed)
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -287,6 +287,8 @@
             elif job.request.written:
                 self.fail(job, Outcome.LOST, reason)
             else:
+                if self.recently_abandoned():
+                    self.crash_watch.check()
                 self.server.connect_failed()
                 self.fail(job, Outcome.REFUSED, reason)
         elif response.not_executed and response.status == 421:
@@ -335,7 +337,7 @@
         """
         crashed = crashed and self.server.draining_since is None
         if crashed:
-            self.record_crash([*jobs, *self.recently_abandoned()])
+            self.record_crash(jobs)
         for job in jobs:
             if not job.done:
                 self.fail(
@@ -345,20 +347,18 @@
                 )
         self.dispatch_queued()
 
-    def record_crash(self, jobs: list[Job]):
-        """Record which requests ran at the server when it crashed.
-
-        A request that was sent as a suspect is to blame if no other one was
-        known as a suspect by then.
-        """
-        known = {
-            job.fingerprint
-            for job in jobs
-            if job.fingerprint in self.quarantine.suspects
-        }
-        retried = {job.fingerprint for job in jobs if job.is_suspect}
-        blamed = next(iter(known)) if known == retried and known else None
+    def record_crash(self, lost: list[Job]):
+        """Record which requests ran at the server when it crashed."""
+        self.server.connect_failed()
+        abandoned = self.recently_abandoned()
+        jobs = [*lost, *abandoned]
+        if not jobs:
+            return
+        self.abandoned.clear()
         incarnation = jobs[0].incarnation
+        blamed = self.request_to_blame(lost)
+        if blamed is None:
+            blamed = self.request_to_blame(abandoned)
         log.warning(
             "server crashed",
             extra={
@@ -377,7 +377,21 @@
         self.quarantine.record_crash(
             incarnation, {job.fingerprint for job in jobs}, blamed
         )
-        self.server.connect_failed()
+
+    def request_to_blame(self, jobs: list[Job]) -> int | None:
+        """Return the fingerprint of the request that crashed the server.
+
+        It is known if the only suspect among the requests was sent as one.
+        """
+        suspects = {
+            job.fingerprint
+            for job in jobs
+            if job.fingerprint in self.quarantine.suspects
+        }
+        retried = {job.fingerprint for job in jobs if job.is_suspect}
+        if len(suspects) == 1 and suspects == retried:
+            return suspects.pop()
+        return None
 
     def abandon(self, job: Job):
         """Close the connection of a request; the server may still run it."""
@@ -388,7 +402,13 @@
     def recently_abandoned(self) -> list[Job]:
         """Return requests that the server may still have been running."""
         cutoff = self.clock.seconds() - ABANDONED_SECONDS
-        return [job for at, job in self.abandoned if at >= cutoff]
+        return [
+            job
+            for at, job in self.abandoned
+            if at >= cutoff
+            and self.server.report is not None
+            and job.incarnation == self.server.report.incarnation
+        ]
 
     def record_speed(self, job: Job, seconds: float):
         """Compare the duration of a served request with the expected one.
--- a/tests/test_proxy_quarantine.py
+++ b/tests/test_proxy_quarantine.py
@@ -146,6 +146,22 @@
         self.crash()
         self.assertEqual(2, len(self.gate.quarantine.suspects))
 
+    def test_a_crash_after_all_clients_have_left_is_noticed(self):
+        """Guards against a request whose clients never wait for the crash."""
+        for _ in range(2):
+            self.gate.cancel(self.submit(b"deadly"))
+            self.pool.refuses = True
+            self.submit(b"a")
+            request = self.pool.sent.pop()
+            request.written = False
+            request.finish(None, "connecting failed")
+            self.pool.sent.clear()
+            self.clock.advance(0.5)
+            self.start_server()
+        self.outcomes()
+        self.submit(b"deadly")
+        self.assertEqual([Outcome.QUARANTINED], self.outcomes())
+
     def test_held_suspects_end_at_their_deadline_or_with_their_client(self):
         names = (b"a", b"b", b"c")
         for name in names:
