--- a/experiments/platformsoak.py
+++ b/experiments/platformsoak.py
@@ -13,6 +13,7 @@
 - a server gets no more than the rate limit that it states,
 - a server that states that it leaves gets nothing after its drain time,
 - a node exits with code 0 unless it was killed,
+- a request that crashes servers crashes few of them,
 - after the faults, requests are served again, and all nodes have the newest
   configuration in force.
 """
@@ -31,6 +32,7 @@
 
 from flamingosail_platform.store import encode_record
 from flamingosail_platform.store import Record
+from platform_standins.server import EXIT_CRASHED
 from platform_standins.server import send_request
 
 from experiments.disturbedlink import Link
@@ -66,7 +68,13 @@
     "limit_server",
     "remove_server",
     "restore_store",
+    "send_deadly_requests",
 )
+# The platform tolerates three crashes and three more sends, by nodes that were
+# not restarted, paused or cut off meanwhile.
+DEADLY_PATH = "/read/deadly"
+DEADLY_REQUESTS = 8
+MAX_CRASHES = 6
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -131,6 +139,7 @@
             for client in clients:
                 client.cancel()
             self.check_runs()
+            self.check_crashes()
             self.check_terms()
         finally:
             self.cluster.stop()
@@ -424,6 +433,27 @@
             await asyncio.wait_for(self.write_configuration(), 1.0)
         self.restoring = False
 
+    async def send_deadly_requests(self):
+        """Send a request that crashes servers, again and again.
+
+        Servers that have crashed are started again.
+        """
+        self.record_fault("deadly")
+        for _ in range(DEADLY_REQUESTS):
+            self.requests_sent += 1
+            headers = self.headers(f"deadly{self.requests_sent}")
+            vm = self.cluster.vms[self.random_vm()]
+            with suppress(OSError, TimeoutError):
+                await asyncio.wait_for(
+                    send_request(HOST, vm.clients, DEADLY_PATH, b"", headers),
+                    CLIENT_TIMEOUT_SECONDS,
+                )
+            await asyncio.sleep(self.random.uniform(0.1, 0.4))
+            for name in self.cluster.vms:
+                process = self.cluster.processes[f"server-{name}"]
+                if process.poll() == EXIT_CRASHED:
+                    self.start_server(name)
+
     async def change_configuration(self):
         """Write the next configuration."""
         self.record_fault("configuration")
@@ -512,6 +542,16 @@
                     f" last {late[-1] - server.leaves_at:.2f} s later"
                 )
 
+    def check_crashes(self):
+        """Check that a request that crashes servers was found out."""
+        crashes = sum(
+            self.cluster.output(name).count("\nCRASH ")
+            for name in self.cluster.processes
+            if name.startswith("server-")
+        )
+        if crashes > MAX_CRASHES:
+            self.record_violation(f"one request crashed {crashes} servers")
+
     def check_runs(self):
         """Compare the runs at the servers with the responses to clients."""
         runs = Counter(run[0] for run in self.cluster.runs())
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -23,6 +23,14 @@
     "inject_link_fault",
     "change_configuration",
 )
+DEADLY_SEED = 3
+DEADLY_SECONDS = 10.0
+DEADLY_KINDS = (
+    "send_deadly_requests",
+    "kill_node",
+    "inject_link_fault",
+    "stop_node",
+)
 TERMS_KINDS = ("limit_server", "limit_server", "remove_server", "kill_node")
 
 
@@ -46,6 +54,14 @@
         kinds = {fault.split()[0] for fault in report.faults}
         self.assertLessEqual({"restore", "configuration"}, kinds)
 
+    def test_a_request_crashes_few_servers(self):
+        """Guards against a request that ends server after server."""
+        report, folder = run_soak(
+            seed=DEADLY_SEED, seconds=DEADLY_SECONDS, kinds=DEADLY_KINDS
+        )
+        self.assertEqual([], report.violations, folder)
+        self.assertIn("deadly", report.faults)
+
     def test_servers_get_what_they_state_to_take(self):
         """Guards against servers overloaded in spite of a stated limit."""
         report, folder = run_soak(
