Tell all nodes of a cleared request, and of older crashes with new ones

What callers could see, found by reading: a request that one gate had cleared stayed a suspect at all others, where a crash that it had no part in would have put it in quarantine. A node that sent news of its own crash took its peers to have all older evidence as well, so that one that lacked it waited up to 30 s.

Change: a clearance is told at once like a crash; news do not count as the whole evidence, and the peer's answer shows whether it lacks more. A request that was never written to the server is no longer among those that it may still run.

--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -396,8 +396,9 @@
 
     def abandon(self, job: Job):
         """Close the connection of a request; the server may still run it."""
-        job.identify()
-        self.abandoned.append((self.clock.seconds(), job))
+        if job.request.written:
+            job.identify()
+            self.abandoned.append((self.clock.seconds(), job))
         job.request.abandon()
 
     def recently_abandoned(self) -> list[Job]:
--- a/flamingosail/proxy/hopconnection.py
+++ b/flamingosail/proxy/hopconnection.py
@@ -357,9 +357,8 @@
         return True
 
     def announce_evidence(self, news: Evidence):
-        """Send new facts to a peer that is taken to have the older ones."""
-        self.mark_evidence_sent()
-        self.ping(self.sent_at, news)
+        """Send new facts; if the peer lacks older ones, its Pong shows it."""
+        self.ping(self.table.clock.seconds(), news)
 
     def ping(self, now: float, news: Evidence | None = None):
         """Request the peer's load; near peers also get the load report.
--- a/flamingosail/proxy/quarantine.py
+++ b/flamingosail/proxy/quarantine.py
@@ -77,7 +77,7 @@
     cleared. ``suspects`` are the requests with crashes since. ``digest`` is
     equal at nodes that agree about the crashes and about who is to blame; it
     is 0 without a crash. ``on_change`` is called with the new facts when this
-    node adds a crash or lifts a quarantine, ``on_quarantined`` with a request
+    node adds a crash or clears a request, ``on_quarantined`` with a request
     that any node has put in quarantine.
     """
 
@@ -144,21 +144,15 @@
         self.on_change(Evidence([crash], []))
 
     def clear(self, fingerprint: int, *, reason: str):
-        """Drop what speaks against a request.
-
-        Other nodes are only told at once if it was in quarantine; otherwise
-        each of them clears it with the first answer.
-        """
+        """Drop what speaks against a request, at all nodes."""
         if fingerprint not in self.suspects:
             return
         log.info(
             "request cleared",
             extra={"fingerprint": f"{fingerprint:016x}", "reason": reason},
         )
-        was_quarantined = self.quarantined_until(fingerprint) > 0.0
         self.add_clearance(fingerprint, self.clock.seconds())
-        if was_quarantined:
-            self.on_change(Evidence([], [Clearance(fingerprint, 0)]))
+        self.on_change(Evidence([], [Clearance(fingerprint, 0)]))
 
     # Facts of other nodes.
 
@@ -274,8 +268,8 @@
     ) -> int:
         """Return a number that identifies a fact.
 
-        Whether a suspect was cleared may differ between nodes; whether one
-        that is to blame was may not.
+        Nodes may differ in which suspects were cleared, until each has
+        answered them; they may not in who is to blame.
         """
         instance, start_ms = incarnation
         lifted = involvement.alone and self.is_cleared(
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -114,9 +114,13 @@
                 new = self.pop_sent(peer, Ping)
                 pings[peer] += new
                 if new and peer in responding:
-                    self.receive(peer, Pong(0, 0, 10, 1))
+                    self.respond(peer, new[-1].evidence_digest)
         return pings
 
+    def respond(self, peer: Peer, digest: int):
+        """Answer a ping as a peer with this digest of its evidence."""
+        self.receive(peer, Pong(0, 0, 10, 1, True, 100, 0, digest))
+
     def test_many_far_peers_without_calls_are_pinged_less_often(self):
         near = self.connect("10.0.0.6", "fd-a")
         far = [self.connect(f"10.0.2.{n}", "fd-b") for n in range(64)]
@@ -217,6 +221,24 @@
         for pings in self.run_for(3.0, near, far).values():
             self.assertEqual({None}, {ping.evidence for ping in pings})
 
+    def test_news_do_not_hide_older_evidence(self):
+        """Guards against a node that misses a crash for long."""
+        lacks = self.connect("10.0.0.2", "fd-b")
+        quarantine = self.table.quarantine
+        quarantine.on_change = self.table.announce_evidence
+        quarantine.merge(Evidence([CrashEvidence("i-1", 1, 50, [], [8])], []))
+        quarantine.record_crash(("i-2", 1), [7], None)
+        pings = self.pop_sent(lacks, Ping)
+        self.respond(lacks, 5)
+        pings += self.run_for(2.0, lacks)[lacks]
+        told = {
+            crash.instance
+            for ping in pings
+            if ping.evidence is not None
+            for crash in ping.evidence.crashes
+        }
+        self.assertEqual({"i-1", "i-2"}, told)
+
     def test_evidence_of_a_crash_is_passed_on(self):
         """Guards against a cut between the node that knows and another."""
         knows = self.connect("10.0.0.1", "fd-a")
@@ -225,6 +247,7 @@
         digest = self.digest_of(evidence)
         self.receive(knows, Pong(0, 0, 10, 1, True, 100, 0, digest, evidence))
         self.assertEqual(digest, self.table.quarantine.digest)
+        self.respond(lacks, 0)
         pings = self.run_for(1.5, knows, lacks)
         self.assertEqual(evidence.crashes[0].alone, [8])
         passed_on = [ping.evidence for ping in pings[lacks] if ping.evidence]
