--- a/flamingosail/proxy/quarantine.py
+++ b/flamingosail/proxy/quarantine.py
@@ -77,8 +77,7 @@
     cleared. ``suspects`` are the requests with crashes since. ``digest`` is
     equal at nodes that agree about the crashes and about who is to blame; it
     is 0 without a crash. ``on_change`` is called with the new facts when this
-    node adds a crash or clears a request, ``on_quarantined`` with a request
-    that any node has put in quarantine.
+    node adds a crash or clears a request.
     """
 
     def __init__(
@@ -86,7 +85,6 @@
     ):
         self.clock = clock
         self.on_change = on_change
-        self.on_quarantined: Callable[[int], None] = lambda fingerprint: None
         self.involvements: dict[int, dict[tuple[str, int], Involvement]] = {}
         self.clearances: dict[int, float] = {}
         self.suspects: set[int] = set()
@@ -235,7 +233,6 @@
                     "seconds": round(until - self.clock.seconds()),
                 },
             )
-            self.on_quarantined(fingerprint)
 
     def add_clearance(self, fingerprint: int, at: float):
         """Add that a request was cleared; void its crashes up to then."""
