Blame no suspect for a crash beside one whose client had left

What callers could see: an innocent request in quarantine for 10 minutes. A request whose connection the gate has closed may still run at the server; the next suspect is sent meanwhile, and was blamed if the server crashed then.

Cause: the requests that were lost and those that had been abandoned were looked at one after the other, although all of them ran there.

Change: the only suspect among all of them is to blame; if one of them is in quarantine already, that one.

--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -350,15 +350,12 @@
     def record_crash(self, lost: list[Job]):
         """Record which requests ran at the server when it crashed."""
         self.server.connect_failed()
-        abandoned = self.recently_abandoned()
-        jobs = [*lost, *abandoned]
+        jobs = [*lost, *self.recently_abandoned()]
         if not jobs:
             return
         self.abandoned.clear()
         incarnation = jobs[0].incarnation
-        blamed = self.request_to_blame(lost)
-        if blamed is None:
-            blamed = self.request_to_blame(abandoned)
+        blamed = self.request_to_blame(jobs)
         log.warning(
             "server crashed",
             extra={
@@ -381,8 +378,12 @@
     def request_to_blame(self, jobs: list[Job]) -> int | None:
         """Return the fingerprint of the request that crashed the server.
 
-        It is known if the only suspect among the requests was sent as one.
+        It is known if the only suspect among the requests was sent as one, or
+        if one of them has crashed other servers before.
         """
+        for job in jobs:
+            if self.quarantine.quarantined_until(job.fingerprint):
+                return job.fingerprint
         suspects = {
             job.fingerprint
             for job in jobs
--- a/tests/test_proxy_quarantine.py
+++ b/tests/test_proxy_quarantine.py
@@ -162,6 +162,42 @@
         self.submit(b"deadly")
         self.assertEqual([Outcome.QUARANTINED], self.outcomes())
 
+    def test_a_suspect_beside_one_whose_client_left_is_not_blamed(self):
+        """Guards against blaming a request for the crash by another one.
+
+        The server still ran the one whose connection had been closed.
+        """
+        for name in (b"a", b"deadly"):
+            self.submit(name)
+        self.crash()
+        left = self.submit(b"deadly")
+        self.submit(b"a")
+        self.gate.cancel(left)
+        self.pool.sent = [
+            request for request in self.pool.sent if not request.done
+        ]
+        self.crash()
+        self.outcomes()
+        self.submit(b"a")
+        self.answer()
+        self.assertEqual([Outcome.ANSWERED], self.outcomes())
+
+    def test_a_quarantined_request_is_to_blame_for_the_next_crash(self):
+        """Guards against blaming a suspect that ran beside it."""
+        self.submit(b"a")
+        self.crash()
+        deadly = self.submit(b"deadly")
+        for instance in ("i-8", "i-9"):
+            self.gate.quarantine.record_crash(
+                (instance, 5), [deadly.identify()], deadly.identify()
+            )
+        self.submit(b"a")
+        self.crash()
+        self.outcomes()
+        self.submit(b"a")
+        self.answer()
+        self.assertEqual([Outcome.ANSWERED], self.outcomes())
+
     def test_held_suspects_end_at_their_deadline_or_with_their_client(self):
         names = (b"a", b"b", b"c")
         for name in names:
