Send nothing to a server until it is known why a request was lost

Cause: between the loss of a request and the verdict of CrashWatch, 2 ms later, the gate went on sending to a server that was gone, among others the next suspect. What was sent was lost as well, and looked as if it had run there.

Change: while the cause is looked for, requests wait in the queue; after a crash they are refused as not run and go to another server.

--- a/flamingosail/proxy/crashwatch.py
+++ b/flamingosail/proxy/crashwatch.py
@@ -40,6 +40,11 @@
         self.lost: list[Job] = []
         self.probing = False
 
+    @property
+    def pending(self) -> bool:
+        """Whether it is not known yet if the server has crashed."""
+        return self.probing or bool(self.lost)
+
     def add(self, job: Job):
         """Add a request whose connection ended without a response."""
         self.lost.append(job)
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -158,10 +158,14 @@
         return wait
 
     def can_dispatch(self) -> bool:
-        """Return whether the server may get a request now."""
+        """Return whether the server may get a request now.
+
+        What is sent to a server that has just crashed is lost as well.
+        """
         return (
             len(self.running) < self.max_running
             and self.server.limiter.delay() <= 0.0
+            and not self.crash_watch.pending
         )
 
     # Requests.
@@ -452,6 +456,8 @@
 
     def dispatch_queued(self):
         """Dispatch queued requests in order while the server may get some."""
+        if self.crash_watch.pending:
+            return
         while self.queue and len(self.running) < self.max_running:
             if self.queue[0][3].done:
                 heappop(self.queue)
--- a/tests/test_proxy_crashes.py
+++ b/tests/test_proxy_crashes.py
@@ -45,6 +45,27 @@
         self.assertEqual([Outcome.LOST] * 2, [end[1] for end in self.ends])
         self.assertEqual("absent", self.gate.server.state)
 
+    def test_nothing_is_sent_until_the_cause_of_a_loss_is_known(self):
+        """Guards against requests that are lost at a server that is gone."""
+        for refuses in (True, False):
+            self.pool.refuses = refuses
+            self.gate.server.handle_report(make_report(sequence=5 - refuses))
+            self.submit(b"a")
+            self.pool.sent.pop().finish(None, CONNECTION_LOST)
+            self.submit(b"b")
+            self.assertEqual([], self.pool.sent)
+            self.clock.advance(0.01)
+            self.assertEqual(not refuses, bool(self.pool.sent))
+        outcomes = [(end[0], end[1]) for end in self.ends]
+        self.assertEqual(
+            [
+                (b"a", Outcome.LOST),
+                (b"b", Outcome.REFUSED),
+                (b"a", Outcome.LOST),
+            ],
+            outcomes,
+        )
+
     def test_a_reset_of_some_connections_is_no_crash(self):
         self.pool.refuses = True
         self.pool.connections.add("another connection")
--- a/tests/test_proxy_quarantine.py
+++ b/tests/test_proxy_quarantine.py
@@ -63,10 +63,9 @@
         return job
 
     def crash(self):
-        sent, self.pool.sent = self.pool.sent, []
         self.pool.refuses = True
-        for request in sent:
-            request.finish(None, CONNECTION_LOST)
+        while self.pool.sent:
+            self.pool.sent.pop(0).finish(None, CONNECTION_LOST)
         self.clock.advance(0.5)
         self.start_server()
 
@@ -162,6 +161,18 @@
         self.submit(b"deadly")
         self.assertEqual([Outcome.QUARANTINED], self.outcomes())
 
+    def test_the_suspect_that_waits_is_not_sent_to_a_crashed_server(self):
+        """Guards against two suspects among the requests of one crash."""
+        for name in (b"a", b"deadly"):
+            self.submit(name)
+        self.crash()
+        self.submit(b"deadly")
+        self.submit(b"a")
+        self.crash()
+        self.outcomes()
+        self.submit(b"deadly")
+        self.assertEqual([Outcome.QUARANTINED], self.outcomes())
+
     def test_a_suspect_beside_one_whose_client_left_is_not_blamed(self):
         """Guards against blaming a request for the crash by another one.
 
