Move the record of a crash out of the gate

Which requests ran at a crash and which of them is to blame is an idea of its own; the gate keeps who may run when. No decision changes.

--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -5,7 +5,6 @@
 did not run are therefore decided locally, without agreement between nodes.
 """
 
-from collections import deque
 from collections.abc import Callable
 from heapq import heappop
 from heapq import heappush
@@ -17,6 +16,7 @@
 from flamingosail.proxy.backendserver import CONNECTION_LOST
 from flamingosail.proxy.backendserver import ServerRequest
 from flamingosail.proxy.backendserver import ServerResponse
+from flamingosail.proxy.crashes import CrashRecorder
 from flamingosail.proxy.crashwatch import CrashWatch
 from flamingosail.proxy.decisions import DecisionLog
 from flamingosail.proxy.dialect import Dialect
@@ -56,13 +56,6 @@
 # of the server that names the request, they are not passed on.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
-# A server may run a request on for a moment after its connection was closed.
-ABANDONED_SECONDS = 1.0
-MAX_ABANDONED = 64
-# Limits of the log line about a crash.
-MAX_LOGGED_REQUESTS = 64
-MAX_LOGGED_BYTES = 200
-
 # Names of outcomes in the log and in the metric ``gate_ends``.
 OUTCOME_NAMES = {
     Outcome.ANSWERED: "answered",
@@ -90,7 +83,7 @@
     out, and ``paced_dispatch`` the timer that sends the next of them under a
     rate limit of the server. ``suspect`` is the request at the server that ran
     when a server crashed, if any, and ``held`` are those that wait for its
-    end. ``abandoned`` are requests whose connection was closed, with the time.
+    end.
     """
 
     def __init__(
@@ -107,12 +100,14 @@
     ):
         self.clock = clock
         self.quarantine = quarantine
+        self.crashes = CrashRecorder(
+            clock=clock, server=server, quarantine=quarantine, metrics=metrics
+        )
         self.crash_watch = CrashWatch(
             clock=clock, pool=pool, on_result=self.handle_lost
         )
         self.suspect: Job | None = None
         self.held: list[Job] = []
-        self.abandoned: deque[tuple[float, Job]] = deque(maxlen=MAX_ABANDONED)
         self.server = server
         self.expected_seconds = expected_seconds
         self.pool = pool
@@ -291,7 +286,7 @@
             elif job.request.written:
                 self.fail(job, Outcome.LOST, reason)
             else:
-                if self.recently_abandoned():
+                if self.crashes.recently_abandoned():
                     self.crash_watch.check()
                 self.server.connect_failed()
                 self.fail(job, Outcome.REFUSED, reason)
@@ -341,7 +336,8 @@
         """
         crashed = crashed and self.server.draining_since is None
         if crashed:
-            self.record_crash(jobs)
+            self.server.connect_failed()
+            self.crashes.record(jobs)
         for job in jobs:
             if not job.done:
                 self.fail(
@@ -351,71 +347,6 @@
                 )
         self.dispatch_queued()
 
-    def record_crash(self, lost: list[Job]):
-        """Record which requests ran at the server when it crashed."""
-        self.server.connect_failed()
-        jobs = [*lost, *self.recently_abandoned()]
-        if not jobs:
-            return
-        self.abandoned.clear()
-        incarnation = jobs[0].incarnation
-        blamed = self.request_to_blame(jobs)
-        log.warning(
-            "server crashed",
-            extra={
-                "instance": incarnation[0],
-                "born": incarnation[1],
-                "requests": {
-                    f"{job.fingerprint:016x}": (
-                        job.request_line[:MAX_LOGGED_BYTES].decode("latin-1")
-                    )
-                    for job in jobs[:MAX_LOGGED_REQUESTS]
-                },
-                "blamed": blamed and f"{blamed:016x}",
-            },
-        )
-        self.metrics.count("server_crashes")
-        self.quarantine.record_crash(
-            incarnation, {job.fingerprint for job in jobs}, blamed
-        )
-
-    def request_to_blame(self, jobs: list[Job]) -> int | None:
-        """Return the fingerprint of the request that crashed the server.
-
-        It is known if the only suspect among the requests was sent as one, or
-        if one of them has crashed other servers before.
-        """
-        for job in jobs:
-            if self.quarantine.quarantined_until(job.fingerprint):
-                return job.fingerprint
-        suspects = {
-            job.fingerprint
-            for job in jobs
-            if job.fingerprint in self.quarantine.suspects
-        }
-        retried = {job.fingerprint for job in jobs if job.is_suspect}
-        if len(suspects) == 1 and suspects == retried:
-            return suspects.pop()
-        return None
-
-    def abandon(self, job: Job):
-        """Close the connection of a request; the server may still run it."""
-        if job.request.written:
-            job.identify()
-            self.abandoned.append((self.clock.seconds(), job))
-        job.request.abandon()
-
-    def recently_abandoned(self) -> list[Job]:
-        """Return requests that the server may still have been running."""
-        cutoff = self.clock.seconds() - ABANDONED_SECONDS
-        return [
-            job
-            for at, job in self.abandoned
-            if at >= cutoff
-            and self.server.report is not None
-            and job.incarnation == self.server.report.incarnation
-        ]
-
     def record_speed(self, job: Job, seconds: float):
         """Compare the duration of a served request with the expected one.
 
@@ -496,7 +427,7 @@
         elif job.deadline + RESPONSE_GRACE_SECONDS <= self.clock.seconds():
             self.release_slot(job, self.clock.seconds())
             written = job.request.written
-            self.abandon(job)
+            self.crashes.abandon(job)
             outcome = Outcome.LOST if written else Outcome.REFUSED
             self.fail(job, outcome, "the server did not answer in time")
             self.dispatch_queued()
@@ -521,7 +452,7 @@
             job.end()
         elif job.idempotent or not job.request.written:
             self.release_slot(job, self.clock.seconds())
-            self.abandon(job)
+            self.crashes.abandon(job)
             job.end()
             self.dispatch_queued()
 
