--- a/flamingosail/proxy/quarantine.py
+++ b/flamingosail/proxy/quarantine.py
@@ -34,7 +34,7 @@
 MAX_QUARANTINE_SECONDS = 86_400.0
 # Other facts expire after this time.
 SUSPICION_SECONDS = 600.0
-# Bounds of what a node holds, about 1 MB each.
+# Bounds of what a node holds.
 MAX_REQUESTS = 4096
 MAX_CLEARANCES = 4096
 # Crashes of one request that are stored.
