Let no full table hide a request that crashes servers

What callers could see, found by reading: a request that had run at 16 crashes without a verdict could not be blamed for the next one, and a full table of clearances dropped a quarantine with the oldest clearance.

Cause: at the bounds, the newest fact was refused and the oldest dropped, whatever it said.

Change: the oldest crash for which the request is not to blame makes room, and requests in quarantine are forgotten last.

--- a/flamingosail/proxy/quarantine.py
+++ b/flamingosail/proxy/quarantine.py
@@ -207,13 +207,27 @@
         involvements = self.involvements.get(fingerprint)
         if involvements is None:
             if len(self.involvements) >= MAX_REQUESTS:
-                self.evict()
+                self.evict(self.involvements)
             involvements = self.involvements[fingerprint] = {}
         known = involvements.get(incarnation)
         if known is not None and known.at <= at:
             return
         if known is None and len(involvements) >= MAX_CRASHES:
-            return
+            oldest = min(
+                involvements,
+                key=lambda name: (
+                    involvements[name].alone,
+                    involvements[name].at,
+                ),
+            )
+            if (alone, at) <= (
+                involvements[oldest].alone,
+                involvements[oldest].at,
+            ):
+                return
+            self.digest ^= self.digest_of(
+                fingerprint, oldest, involvements.pop(oldest)
+            )
         before = self.quarantined_until(fingerprint)
         if known is not None:
             # The message that told it first was on its way for longer.
@@ -243,7 +257,7 @@
             self.digest ^= self.digest_of(fingerprint, *crash)
         if fingerprint not in self.clearances:
             while len(self.clearances) >= MAX_CLEARANCES:
-                self.forget(next(iter(self.clearances)))
+                self.evict(self.clearances)
         self.clearances[fingerprint] = at
         for crash in crashes:
             self.digest ^= self.digest_of(fingerprint, *crash)
@@ -286,16 +300,16 @@
         self.clearances.pop(fingerprint, None)
         self.suspects.discard(fingerprint)
 
-    def evict(self):
-        """Forget the oldest request, if possible one without quarantine."""
+    def evict(self, fingerprints: Collection[int]):
+        """Forget the oldest of some requests, if possible a mere suspect."""
         self.forget(
             next(
                 (
                     fingerprint
-                    for fingerprint in self.involvements
+                    for fingerprint in fingerprints
                     if not self.quarantined_until(fingerprint)
                 ),
-                next(iter(self.involvements)),
+                next(iter(fingerprints)),
             )
         )
 
--- a/tests/test_proxy_quarantine.py
+++ b/tests/test_proxy_quarantine.py
@@ -15,6 +15,7 @@
 from flamingosail.proxy.hop import Outcome
 from flamingosail.proxy.hop import Ping
 from flamingosail.proxy.quarantine import MAX_CLEARANCES
+from flamingosail.proxy.quarantine import MAX_CRASHES
 from flamingosail.proxy.quarantine import MAX_REQUESTS
 from flamingosail.proxy.quarantine import Quarantine
 from flamingosail.proxy.quarantine import QUARANTINE_SECONDS
@@ -331,6 +332,32 @@
             node.add_clearance(fingerprint, self.clock.seconds())
         self.assertLessEqual(len(node.clearances), MAX_CLEARANCES)
 
+    def test_a_request_in_many_crashes_can_still_be_blamed(self):
+        """Guards against a table that is full when the verdict comes."""
+        node = self.node()
+        for number in range(2 * MAX_CRASHES):
+            self.clock.advance(1.0)
+            node.record_crash((f"i-{number}", 1), [7], None)
+        node.record_crash(("i-last", 1), [7], 7)
+        self.assertIs(Verdict.QUARANTINED, node.verdict(7))
+        self.assertEqual(MAX_CRASHES, len(node.involvements[7]))
+        other = self.node()
+        self.tell(node, other)
+        self.assertEqual(node.digest, other.digest)
+
+    def test_clearances_of_others_do_not_lift_a_quarantine(self):
+        """Guards against a full table of clearances that hides a verdict."""
+        node = self.node()
+        node.record_crash(("i-1", 1), [7], None)
+        node.clear(7, reason="answered")
+        self.clock.advance(1.0)
+        node.record_crash(("i-2", 1), [7], None)
+        node.record_crash(("i-3", 1), [7], 7)
+        for fingerprint in range(100, 101 + MAX_CLEARANCES):
+            node.add_clearance(fingerprint, self.clock.seconds())
+        self.assertEqual(MAX_CLEARANCES, len(node.clearances))
+        self.assertIs(Verdict.QUARANTINED, node.verdict(7))
+
     @settings(max_examples=150)
     @given(
         st.lists(
