Name the request to blame for a crash as such

`alone` said that a request was the only known suspect at a crash, which has to be read twice; what it means for the reader is that the request is taken to have crashed the server. The field is now `blamed`, as in the log line. Between nodes it has no name, so that nothing changes there. No decision changes.

--- a/flamingosail/proxy/hop.py
+++ b/flamingosail/proxy/hop.py
@@ -118,8 +118,8 @@
     """A crash of a backend server, with the requests that ran there.
 
     ``instance`` and ``start_ms`` identify the server process, ``age_ms`` is
-    how long ago it crashed. ``alone`` has the fingerprint of the request that
-    was the only one there with earlier crashes, ``suspects`` those of the
+    how long ago it crashed. ``blamed`` has the fingerprint of the request that
+    is taken to have crashed it, if that is known, ``suspects`` those of the
     others.
     """
 
@@ -127,7 +127,7 @@
     start_ms: int
     age_ms: int
     suspects: list[int]
-    alone: list[int]
+    blamed: list[int]
 
 
 class Clearance(Struct, array_like=True, gc=False):
--- a/flamingosail/proxy/quarantine.py
+++ b/flamingosail/proxy/quarantine.py
@@ -61,12 +61,12 @@
 class Involvement:
     """A request was running when a server crashed.
 
-    ``at`` is in the reactor's time. ``alone`` says that no other request there
-    was a suspect at the time, and that it was sent as one.
+    ``at`` is in the reactor's time. ``blamed`` says that this request, and no
+    other one there, is taken to have crashed the server.
     """
 
     at: float
-    alone: bool
+    blamed: bool
 
 
 class Quarantine:
@@ -108,11 +108,11 @@
             for involvement in self.involvements.get(fingerprint, {}).values()
             if not self.is_cleared(fingerprint, involvement)
         ]
-        blamed = sum(involvement.alone for involvement in crashes)
-        if not blamed:
+        count = sum(involvement.blamed for involvement in crashes)
+        if not count:
             return 0.0
         seconds = min(
-            MAX_QUARANTINE_SECONDS, QUARANTINE_SECONDS * 2 ** (blamed - 1)
+            MAX_QUARANTINE_SECONDS, QUARANTINE_SECONDS * 2 ** (count - 1)
         )
         return max(involvement.at for involvement in crashes) + seconds
 
@@ -127,18 +127,21 @@
         self,
         incarnation: tuple[str, int],
         fingerprints: Collection[int],
-        alone: int | None,
+        blamed: int | None,
     ):
         """Add the crash of the backend server of this VM.
 
-        ``alone`` is the request that is to blame, if that is known.
+        ``blamed`` is the request that is to blame, if that is known.
         """
         now = self.clock.seconds()
         for fingerprint in fingerprints:
-            self.add_crash(incarnation, fingerprint, now, fingerprint == alone)
-        others = [number for number in fingerprints if number != alone]
-        blamed = [] if alone is None else [alone]
-        crash = CrashEvidence(*incarnation, 0, others, blamed)
+            self.add_crash(
+                incarnation, fingerprint, now, fingerprint == blamed
+            )
+        suspects = [number for number in fingerprints if number != blamed]
+        crash = CrashEvidence(
+            *incarnation, 0, suspects, [] if blamed is None else [blamed]
+        )
         self.on_change(Evidence([crash], []))
 
     def clear(self, fingerprint: int, *, reason: str):
@@ -167,7 +170,7 @@
                     age_ms = round((now - involvement.at) * 1000)
                     crash = CrashEvidence(*incarnation, age_ms, [], [])
                     crashes[incarnation] = crash
-                kind = crash.alone if involvement.alone else crash.suspects
+                kind = crash.blamed if involvement.blamed else crash.suspects
                 kind.append(fingerprint)
         return Evidence(
             list(crashes.values()),
@@ -185,7 +188,7 @@
             at = now - max(0, crash.age_ms) / 1000
             for fingerprint in crash.suspects:
                 self.add_crash(incarnation, fingerprint, at, False)
-            for fingerprint in crash.alone:
+            for fingerprint in crash.blamed:
                 self.add_crash(incarnation, fingerprint, at, True)
         for clearance in evidence.clearances:
             self.add_clearance(
@@ -199,10 +202,10 @@
         incarnation: tuple[str, int],
         fingerprint: int,
         at: float,
-        alone: bool,
+        blamed: bool,
     ):
         """Add that a request was running when a server crashed."""
-        if self.clock.seconds() - at > SUSPICION_SECONDS and not alone:
+        if self.clock.seconds() - at > SUSPICION_SECONDS and not blamed:
             return
         involvements = self.involvements.get(fingerprint)
         if involvements is None:
@@ -216,12 +219,12 @@
             oldest = min(
                 involvements,
                 key=lambda name: (
-                    involvements[name].alone,
+                    involvements[name].blamed,
                     involvements[name].at,
                 ),
             )
-            if (alone, at) <= (
-                involvements[oldest].alone,
+            if (blamed, at) <= (
+                involvements[oldest].blamed,
                 involvements[oldest].at,
             ):
                 return
@@ -231,9 +234,9 @@
         before = self.quarantined_until(fingerprint)
         if known is not None:
             # The message that told it first was on its way for longer.
-            alone = known.alone
+            blamed = known.blamed
             self.digest ^= self.digest_of(fingerprint, incarnation, known)
-        involvement = Involvement(at=at, alone=alone)
+        involvement = Involvement(at=at, blamed=blamed)
         self.digest ^= self.digest_of(fingerprint, incarnation, involvement)
         involvements[incarnation] = involvement
         self.update_suspect(fingerprint)
@@ -283,10 +286,10 @@
         answered them; they may not in who is to blame.
         """
         instance, start_ms = incarnation
-        lifted = involvement.alone and self.is_cleared(
+        lifted = involvement.blamed and self.is_cleared(
             fingerprint, involvement
         )
-        text = f"{fingerprint} {involvement.alone} {lifted} {start_ms} "
+        text = f"{fingerprint} {involvement.blamed} {lifted} {start_ms} "
         digest = blake2b((text + instance).encode(), digest_size=DIGEST_BYTES)
         return int.from_bytes(digest.digest(), "big")
 
@@ -353,7 +356,7 @@
                         "instance": instance,
                         "born": start_ms,
                         "seconds_ago": round(now - involvement.at, 3),
-                        "alone": involvement.alone,
+                        "blamed": involvement.blamed,
                     }
                     for (instance, start_ms), involvement in (
                         self.involvements[fingerprint].items()
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -249,10 +249,10 @@
         self.assertEqual(digest, self.table.quarantine.digest)
         self.respond(lacks, 0)
         pings = self.run_for(1.5, knows, lacks)
-        self.assertEqual(evidence.crashes[0].alone, [8])
+        self.assertEqual(evidence.crashes[0].blamed, [8])
         passed_on = [ping.evidence for ping in pings[lacks] if ping.evidence]
         self.assertEqual(1, len(passed_on))
-        self.assertEqual([8], passed_on[0].crashes[0].alone)
+        self.assertEqual([8], passed_on[0].crashes[0].blamed)
         # The node that told it does not get it back.
         self.assertIsNone(pings[knows][0].evidence)
 
