review: silent store connections keep a former configuration in force

Shown: when the open connections of all nodes to the store go silent, while new ones work, a route that is moved 3.3 s later is still served by its former service until 7 s after the acknowledgement (rule CONFIG, configApplyS 2 s).

--- a/review/harness.py
+++ b/review/harness.py
@@ -408,6 +408,9 @@
         self.temporary = Path(tempfile.mkdtemp(prefix="review-"))
         network = f"127.{random.randint(16, 250)}.{random.randint(0, 255)}"
         self.store = Store(f"{network}.2")
+        # Where the nodes reach the store; a case may put a proxy there.
+        self.platform_host = self.store.host
+        self.proxy_host = f"{network}.3"
         self.vms = [
             Vm(
                 name=f"sidecar-{number}",
@@ -462,7 +465,7 @@
             "bounds": ",".join(f"{k}={v}" for k, v in BOUNDS.items()),
             "appAddr": f"{vm.host}:{SERVER_PORT}",
             "service": vm.service,
-            "platform.address": f"{self.store.host}:{STORE_PORT}",
+            "platform.address": f"{self.platform_host}:{STORE_PORT}",
             "platform.form": "log",
         }
         path = self.temporary / f"{vm.name}.conf"
