--- a/flamingosail/proxy/hopconnection.py
+++ b/flamingosail/proxy/hopconnection.py
@@ -5,6 +5,7 @@
 from twisted.internet.protocol import Protocol
 
 from flamingosail.errors import CodecError
+from flamingosail.proxy.configspread import ConfigSource
 from flamingosail.proxy.hop import Call
 from flamingosail.proxy.hop import Cancel
 from flamingosail.proxy.hop import ConfigCopy
@@ -109,6 +110,13 @@
             quarantine.merge(message.evidence)
         self.peer_differs = message.evidence_digest != quarantine.digest
 
+    def handle_config(self, message: ConfigCopy):
+        """Pass on a configuration that the other node has sent."""
+        self.table.on_config(
+            message.document,
+            ConfigSource.NEAR_PEER if self.near else ConfigSource.FAR_PEER,
+        )
+
     def mark_alive(self):
         """Handle the arrival of data; does nothing by default."""
 
@@ -194,7 +202,7 @@
         elif kind is ConfigPull:
             self.table.send_config(self, message.version)
         elif kind is ConfigCopy:
-            self.table.on_config(message.document)
+            self.handle_config(message)
 
     def handle_call(self, call: Call):
         """Submit a call to the gate."""
@@ -324,7 +332,7 @@
         elif kind is ConfigPull:
             self.table.send_config(self, message.version)
         elif kind is ConfigCopy:
-            self.table.on_config(message.document)
+            self.handle_config(message)
 
     def mark_alive(self):
         """Record that the peer is alive."""
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -10,6 +10,7 @@
 from flamingosail.proxy.balance import LoadBalancer
 from flamingosail.proxy.budget import RetryBudget
 from flamingosail.proxy.client import ClientListener
+from flamingosail.proxy.configspread import ConfigSource
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.forward import Forwarder
 from flamingosail.proxy.gate import Gate
@@ -154,9 +155,7 @@
             ),
             config_version=self.config_version,
             config_document=lambda: self.document,
-            on_config=lambda document: self.apply_config(
-                document, from_store=False
-            ),
+            on_config=self.apply_config,
         )
         self.forwarder = Forwarder(
             clock=reactor,
@@ -204,6 +203,8 @@
                 for peer in self.peers.peers.values()
             ),
             config_version=self.config_version,
+            config_version_known=self.known_config_version,
+            config_behind_seconds=self.config_behind_seconds,
             store_era=lambda: self.peers.store_era.number,
             suspects=lambda: len(self.quarantine.suspects),
             store_reader=lambda: int(self.peers.was_store_reader),
@@ -273,12 +274,25 @@
 
     # Configuration.
 
-    def apply_config(self, document: bytes, *, from_store: bool):
+    def known_config_version(self) -> int:
+        """Return the newest version in force here or announced by a peer."""
+        return max(self.config_version(), self.peers.newer_version[0])
+
+    def config_behind_seconds(self) -> float:
+        """Return for how long a version newer than the one in force is known.
+
+        It is 0 if none is.
+        """
+        version, known_at = self.peers.newer_version
+        if version <= self.config_version():
+            return 0.0
+        return self.reactor.seconds() - known_at
+
+    def apply_config(self, document: bytes, source: ConfigSource):
         """Apply a configuration document if it is valid and newer.
 
         One that was read from the store is announced to near peers.
         """
-        source = "store" if from_store else "peer"
         try:
             route_table = self.parse_config(document)
         except ValueError as error:
@@ -307,6 +321,7 @@
                 "config_version": route_table.version,
                 "before": self.config_version(),
                 "routes": sum(map(len, route_table.hosts.values())),
+                "known_seconds": round(self.config_behind_seconds(), 3),
             },
         )
         self.route_table = route_table
@@ -314,7 +329,7 @@
         self.forwarder.set_route_table(route_table)
         if self.gate.server.check is not None:
             self.gate.server.check.ask()
-        if from_store:
+        if source is ConfigSource.STORE:
             self.peers.announce_config()
 
     # Start and stop.
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -56,13 +56,14 @@
     ``hello``, ``status`` and ``load_report`` return the messages of this
     node, ``config_version`` and ``config_document`` its configuration.
     ``on_reports`` is called with the load reports of all nodes, ``on_config``
-    with a configuration document that a peer sent. ``inbound`` holds the
-    accepted connections, ``by_service`` the servers that are not absent,
-    ``last_pull`` the version and time of the last ConfigPull, and
-    ``newer_version`` the newest version that a peer announced with the time of
-    its first announcement. ``reaches_store`` is false if this node's last call
-    to the metadata store failed, ``store_era`` is the era of that store. Near
-    peers are in the failure domain of this node, far peers in others.
+    with a configuration document that a peer sent and its ConfigSource.
+    ``inbound`` holds the accepted connections, ``by_service`` the servers that
+    are not absent, ``last_pull`` the version and time of the last ConfigPull,
+    and ``newer_version`` the newest version that a peer announced with the
+    time of its first announcement. ``reaches_store`` is false if this node's
+    last call to the metadata store failed, ``store_era`` is the era of that
+    store. Near peers are in the failure domain of this node, far peers in
+    others.
     """
 
     noisy = False
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -18,6 +18,7 @@
 from testtools import TestCase
 from twisted.internet.testing import MemoryReactorClock
 
+from flamingosail.proxy.configspread import ConfigSource
 from flamingosail.proxy.hop import encode_frame
 from flamingosail.proxy.node import NodeConfig
 from flamingosail.proxy.node import ProxyNode
@@ -321,16 +322,16 @@
         self.control.handle(connection, b"GET", target, [], b"")
         self.assertEqual(503, connection.status)
         self.node.apply_config(
-            json.dumps(CONFIGURATION).encode(), from_store=True
+            json.dumps(CONFIGURATION).encode(), ConfigSource.STORE
         )
         self.control.handle(connection, b"GET", target, [], b"")
         self.assertEqual(200, connection.status)
 
     def test_older_or_invalid_configurations_are_ignored(self):
         self.node.apply_config(
-            json.dumps(CONFIGURATION).encode(), from_store=True
+            json.dumps(CONFIGURATION).encode(), ConfigSource.STORE
         )
         older = json.dumps({**CONFIGURATION, "version": 6}).encode()
-        self.node.apply_config(older, from_store=False)
-        self.node.apply_config(b"{cut", from_store=False)
+        self.node.apply_config(older, ConfigSource.NEAR_PEER)
+        self.node.apply_config(b"{cut", ConfigSource.NEAR_PEER)
         self.assertEqual(7, self.node.config_version())
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -78,7 +78,7 @@
             on_reports=lambda reports: None,
             config_version=lambda: 1,
             config_document=lambda: b"",
-            on_config=lambda document: None,
+            on_config=lambda document, source: None,
         )
         self.transports = {}
 
--- a/tests/test_proxy_stop.py
+++ b/tests/test_proxy_stop.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 from twisted.internet.testing import MemoryReactorClock
 
+from flamingosail.proxy.configspread import ConfigSource
 from flamingosail.proxy.node import NodeConfig
 from flamingosail.proxy.node import ProxyNode
 from flamingosail.proxy.routes import ClientLimits
@@ -59,7 +60,7 @@
         )
         self.pool = self.node.gate.pool = FakePool()
         self.node.start()
-        self.node.apply_config(b"", from_store=True)
+        self.node.apply_config(b"", ConfigSource.STORE)
         self.node.gate.server.handle_report(make_report(slots=1))
         self.transports = {}
         self.stopped = []
