--- a/experiments/disturbedlink.py
+++ b/experiments/disturbedlink.py
@@ -13,7 +13,9 @@
 
     ``mode`` is the fault: empty for none, ``delay`` (100 ms for each chunk),
     ``deaf`` (drops all data to the target), ``mute`` (drops all data from the
-    target) or ``silent`` (drops both).
+    target) or ``silent`` (drops both). ``silence`` makes the connections that
+    are open pass nothing any more; those that are opened later are not
+    affected.
     """
 
     def __init__(self, *, target: int):
@@ -21,6 +23,7 @@
         self.mode = ""
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        self.silenced: set[asyncio.StreamWriter] = set()
 
     async def handle_connection(self, reader, writer):
         """Forward one connection in both directions."""
@@ -37,6 +40,7 @@
             self.forward(target_reader, writer, "mute"),
         )
         self.writers -= {writer, target_writer}
+        self.silenced -= {writer, target_writer}
 
     async def forward(self, reader, writer, drop_mode: str):
         """Forward one direction of a connection.
@@ -47,16 +51,24 @@
         dropping = False
         with suppress(OSError):
             while data := await reader.read(65536):
-                dropping = dropping or self.mode in (drop_mode, "silent")
+                dropping = (
+                    dropping
+                    or self.mode in (drop_mode, "silent")
+                    or writer in self.silenced
+                )
                 if dropping:
                     continue
                 if self.mode == "delay":
                     await asyncio.sleep(0.1)
                 writer.write(data)
                 await writer.drain()
-        if not dropping:
+        if not dropping and writer not in self.silenced:
             writer.close()
 
+    def silence(self):
+        """Drop all further data of the connections that are open."""
+        self.silenced |= self.writers
+
     def reset(self):
         """Reset all open connections."""
         for writer in self.writers:
--- a/tests/proxyfakes.py
+++ b/tests/proxyfakes.py
@@ -1,5 +1,7 @@
 """Test doubles for the proxy: headers, transport, gate, reports, jobs."""
 
+from collections.abc import Callable
+from random import Random
 from types import SimpleNamespace
 
 from twisted.internet.testing import MemoryReactorClock
@@ -10,12 +12,17 @@
 from flamingosail.proxy.gate import Gate
 from flamingosail.proxy.job import Job
 from flamingosail.proxy.job import ServerReport
+from flamingosail.proxy.node import NodeConfig
+from flamingosail.proxy.node import ProxyNode
 from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.overload import LoadMeter
 from flamingosail.proxy.quarantine import Quarantine
+from flamingosail.proxy.routes import ClientLimits
 from flamingosail.proxy.routes import Route
+from flamingosail.proxy.routes import RouteTable
 from flamingosail.proxy.routes import WeightedService
 from flamingosail.proxy.serverstate import ServerState
+from flamingosail.settings import Address
 
 DIALECT = Dialect(
     request_id=b"x-id",
@@ -150,3 +157,39 @@
         "leaving": False,
     }
     return ServerResponse(**{**fields, **changes})
+
+
+def make_table(version: int, route: Route | None = None) -> RouteTable:
+    """Return a configuration with one route, for the host h."""
+    return RouteTable(
+        version=version,
+        hosts={b"h": {b"/": route or make_route()}},
+        limits=ClientLimits(),
+    )
+
+
+def make_node(
+    clock: MemoryReactorClock, parse_config: Callable[[bytes], RouteTable]
+) -> ProxyNode:
+    """Return a node in the failure domain fd-a that has not been started."""
+    address = Address("10.0.0.5", 80)
+    return ProxyNode(
+        reactor=clock,
+        random=Random(1),
+        config=NodeConfig(
+            name="n",
+            failure_domain="fd-a",
+            service="histbook",
+            clients=address,
+            peers=address,
+            advertised=address,
+            server=address,
+            drain_seconds=2.0,
+            retry_ratio=0.2,
+            memory_bytes=200_000_000,
+            retry_minimum=47,
+            stop_seconds=6.0,
+        ),
+        dialect=DIALECT,
+        parse_config=parse_config,
+    )
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -87,7 +87,7 @@
         self.cluster = Cluster(layout=self.layout)
         self.addCleanup(self.cluster.stop)
         cluster = self.cluster
-        cluster.start_store(cluster.store_port)
+        self.start_store()
         for name, vm in cluster.vms.items():
             # Nodes connect to each other without a proxy between them.
             fields = dict(vm.__dict__, advertised=vm.peers)
@@ -97,6 +97,19 @@
             cluster.start_server(name, calls=calls, call_host="soak.example")
         self.wait_until(lambda: self.publish_configuration(1))
 
+    def start_store(self):
+        """Start the store where the nodes and the tests reach it."""
+        self.cluster.start_store(self.cluster.store_port)
+
+    def gauges(self, name: str) -> set[int]:
+        """Return the values of a gauge at the nodes."""
+        start = f"\nflamingosail_{name} ".encode()
+        return {
+            int(float(text.partition(start)[2].split()[0]))
+            for vm in self.cluster.vms.values()
+            for text in [call(vm.metrics, "/metrics")[2]]
+        }
+
     def publish_configuration(self, version: int) -> bool:
         """Write a configuration to the store; return whether it succeeded."""
         document = json.dumps(configuration(version, "front", "deep"))
@@ -226,15 +239,6 @@
     # Both nodes are readers of the store.
     layout = {"front": 1, "deep": 1}
 
-    def gauges(self, name: str) -> set[int]:
-        """Return the values of a gauge at the nodes."""
-        start = f"\nflamingosail_{name} ".encode()
-        return {
-            int(float(text.partition(start)[2].split()[0]))
-            for vm in self.cluster.vms.values()
-            for text in [call(vm.metrics, "/metrics")[2]]
-        }
-
     def test_a_configuration_after_a_restore_of_the_store_is_in_force(self):
         """Guards against a reader at an offset that was given out again."""
         self.wait_until_served()
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,6 +9,7 @@
 from flamingosail_platform.store import Record
 from flamingosail_platform.store import RecordsTrimmed
 from flamingosail_platform.store import StoreClient
+from flamingosail_platform.store import StoreConnection
 from flamingosail_platform.store import StoreUnavailable
 from flamingosail_platform.watch import ConfigWatch
 from flamingosail_platform.watch import EXPIRY_SECONDS
@@ -20,9 +21,11 @@
 from twisted.internet.defer import fail
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
 
 from flamingosail.proxy.storeera import StoreEra
 from flamingosail.settings import Address
+from tests.proxyfakes import ClosingTransport
 
 
 class RecordsTest(TestCase):
@@ -249,3 +252,41 @@
         results = []
         deferred.addCallback(results.append)
         return results[0]
+
+
+class SilentStoreTest(TestCase):
+    """A connection to the store may pass nothing and stay open."""
+
+    def setUp(self):
+        super().setUp()
+        self.reactor = MemoryReactorClock()
+        self.client = StoreClient(
+            reactor=self.reactor,
+            address=Address("10.0.0.1", 1),
+            era=StoreEra(),
+        )
+
+    def add_idle_connection(self) -> ClosingTransport:
+        connection = StoreConnection()
+        transport = ClosingTransport()
+        transport.getHandle = None  # nothing to peek at
+        connection.connectionMade = lambda: setattr(connection, "open", True)
+        connection.makeConnection(transport)
+        self.client.idle_connections.append(connection)
+        return transport
+
+    def test_after_a_timeout_no_idle_connection_is_used(self):
+        """Guards against a further timeout for each idle connection.
+
+        When one has gone silent, the others most likely have, too.
+        """
+        transports = [self.add_idle_connection() for _ in range(3)]
+        failures = []
+        for _ in range(2):
+            call = self.client.append("t", Record(key="k", value=b"v"))
+            call.addErrback(failures.append)
+            self.reactor.advance(2.1)
+        written = [transport for transport in transports if transport.value()]
+        self.assertEqual(1, len(written))
+        self.assertTrue(all(transport.aborted for transport in transports))
+        self.assertEqual(1, len(self.reactor.tcpClients))
--- a/tests/test_proxy_stop.py
+++ b/tests/test_proxy_stop.py
@@ -1,21 +1,15 @@
 """Tests of requests during the planned stop of a node."""
 
-from random import Random
-
 from testtools import TestCase
 from twisted.internet.testing import MemoryReactorClock
 
 from flamingosail.proxy.configspread import ConfigSource
-from flamingosail.proxy.node import NodeConfig
-from flamingosail.proxy.node import ProxyNode
-from flamingosail.proxy.routes import ClientLimits
-from flamingosail.proxy.routes import RouteTable
-from flamingosail.settings import Address
 from tests.proxyfakes import ClosingTransport
-from tests.proxyfakes import DIALECT
 from tests.proxyfakes import FakePool
+from tests.proxyfakes import make_node
 from tests.proxyfakes import make_report
 from tests.proxyfakes import make_route
+from tests.proxyfakes import make_table
 
 STOP_SECONDS = 6.0
 TIMEOUT_SECONDS = 5.0
@@ -27,36 +21,9 @@
     def setUp(self):
         super().setUp()
         self.clock = MemoryReactorClock()
-        address = Address("127.0.0.1", 1)
-        self.node = ProxyNode(
-            reactor=self.clock,
-            random=Random(1),
-            config=NodeConfig(
-                name="n",
-                failure_domain="fd-a",
-                service="histbook",
-                clients=address,
-                peers=address,
-                advertised=address,
-                server=address,
-                drain_seconds=2.0,
-                retry_ratio=0.2,
-                memory_bytes=200_000_000,
-                retry_minimum=47,
-                stop_seconds=STOP_SECONDS,
-            ),
-            dialect=DIALECT,
-            parse_config=lambda document: RouteTable(
-                version=1,
-                hosts={
-                    b"h": {
-                        b"/": make_route(
-                            idempotent=False, timeout_seconds=TIMEOUT_SECONDS
-                        )
-                    }
-                },
-                limits=ClientLimits(),
-            ),
+        route = make_route(idempotent=False, timeout_seconds=TIMEOUT_SECONDS)
+        self.node = make_node(
+            self.clock, lambda document: make_table(1, route)
         )
         self.pool = self.node.gate.pool = FakePool()
         self.node.start()
