Let the long polls of the configuration end while it can be applied in time

Cause: a reader relied on the store to end its long poll of 6 s with a change. All polls had begun again at the last change, so that eight readers looked no more often than one. Why the store holds some polls is not visible from outside.

A long poll now lasts 0.75 of the time to apply a configuration (a setting of the platform) at the most, between 0.5 and 6 s, and a random time below that, so that readers look at different times. Ruled out by the logs: a reader without an open read, and silent connections (no `store lost`).

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -106,7 +106,7 @@
             self.received.append(document)
 
         self.append("keyed.op", "config", b"first")
-        self.watch(ConfigWatch, on_document=handle)
+        self.watch(ConfigWatch, on_document=handle, apply_seconds=2.0)
         self.append("keyed.op", "config", b"odd")
         self.append("keyed.op", "config", b"last")
         self.clock.pump([0.5] * 4)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -21,12 +21,15 @@
 from twisted.internet.defer import fail
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
+from twisted.internet.task import deferLater
 from twisted.internet.testing import MemoryReactorClock
 
 from flamingosail.proxy.storeera import StoreEra
 from flamingosail.settings import Address
 from tests.proxyfakes import ClosingTransport
 
+APPLY_SECONDS = 2.0
+
 
 class RecordsTest(TestCase):
     """Decoding must keep the boundaries of records."""
@@ -94,7 +97,9 @@
 
     def config_watch(self) -> ConfigWatch:
         watch = ConfigWatch(
-            on_document=self.received.append, **self.watch_options
+            on_document=self.received.append,
+            apply_seconds=APPLY_SECONDS,
+            **self.watch_options,
         )
         # FakeStore does not hold a read as the long poll does; without an
         # interval the watch would poll without end.
@@ -134,6 +139,49 @@
         self.clock.pump([0.5] * 6)
         self.assertEqual([b"1"], self.received)
 
+    def held_reads(self, *, seconds: float, apply_seconds: float) -> list:
+        """Return how long each read of a watch lets the store hold it.
+
+        The store holds each of them to its end.
+        """
+        waits = []
+
+        def hold(topic, position, wait_seconds):
+            waits.append(wait_seconds)
+            return deferLater(
+                self.clock, wait_seconds, lambda: ([], self.store.end())
+            )
+
+        self.store.read = hold
+        ConfigWatch(
+            on_document=self.received.append,
+            apply_seconds=apply_seconds,
+            **self.watch_options,
+        ).run()
+        self.clock.pump([0.05] * round(seconds / 0.05))
+        return waits
+
+    def test_long_polls_end_in_time_to_apply_a_configuration(self):
+        """Guards against a change that is seen too late.
+
+        The store may tell of it at the end of a poll only.
+        """
+        waits = self.held_reads(seconds=20.0, apply_seconds=APPLY_SECONDS)
+        self.assertLessEqual(max(waits), 0.75 * APPLY_SECONDS)
+
+    def test_readers_do_not_all_poll_at_the_same_time(self):
+        """Guards against many readers that see no more than one would."""
+        waits = self.held_reads(seconds=20.0, apply_seconds=APPLY_SECONDS)
+        self.assertGreater(max(waits) - min(waits), 0.1 * APPLY_SECONDS)
+
+    def test_a_short_or_long_time_to_apply_bounds_the_polls(self):
+        """A store would be called without pause, or hold a poll too long."""
+        self.assertLess(
+            len(self.held_reads(seconds=20.0, apply_seconds=0.0)), 60
+        )
+        waits = self.held_reads(seconds=20.0, apply_seconds=3600.0)
+        self.assertLessEqual(max(waits), 6.0)
+
     def member_watch(self, port: int) -> MemberWatch:
         return MemberWatch(
             own_address=Address("10.0.0.1", port),
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -80,7 +80,10 @@
 
     def start_config_watch(self, **options) -> ConfigWatch:
         return self.start_watch(
-            ConfigWatch, on_document=self.received.append, **options
+            ConfigWatch,
+            on_document=self.received.append,
+            apply_seconds=2.0,
+            **options,
         )
 
     def start_member_watch(self, **options) -> MemberWatch:
