Pull a newer configuration by timer, and again from another node

Cause: a node decided whether to pull only when a message arrived. A pull that stayed without an answer was repeated in the same way.

ConfigSpread now owns what the other nodes have announced. A timer ends the wait for a near node; an unanswered pull goes to another node, those not asked first, with a delay that grows by 0.5 s up to 4 s. Near nodes are told of a new version with a ping, as they are of evidence, rather than with a status, which would make each of them group its servers again.

--- a/flamingosail/proxy/hopconnection.py
+++ b/flamingosail/proxy/hopconnection.py
@@ -5,7 +5,6 @@
 from twisted.internet.protocol import Protocol
 
 from flamingosail.errors import CodecError
-from flamingosail.proxy.configspread import ConfigSource
 from flamingosail.proxy.hop import Call
 from flamingosail.proxy.hop import Cancel
 from flamingosail.proxy.hop import ConfigCopy
@@ -48,6 +47,8 @@
     ``table`` is the PeerTable of this node. ``sent_digest`` is the digest of
     the evidence that was last sent, at ``sent_at``. ``peer_differs`` says that
     the last message of the other node had a digest other than ours.
+    ``announced_version`` is the version of its configuration, as it last said
+    on this connection, and ``peer_address`` its address as text.
     """
 
     def __init__(self, *, table):
@@ -58,6 +59,8 @@
         self.sent_digest = 0
         self.sent_at = 0.0
         self.peer_differs = False
+        self.announced_version = 0
+        self.peer_address = ""
         self.open = False
 
     def connectionMade(self):  # noqa: N802 - named by twisted
@@ -110,13 +113,6 @@
             quarantine.merge(message.evidence)
         self.peer_differs = message.evidence_digest != quarantine.digest
 
-    def handle_config(self, message: ConfigCopy):
-        """Pass on a configuration that the other node has sent."""
-        self.table.on_config(
-            message.document,
-            ConfigSource.NEAR_PEER if self.near else ConfigSource.FAR_PEER,
-        )
-
     def mark_alive(self):
         """Handle the arrival of data; does nothing by default."""
 
@@ -134,7 +130,6 @@
     def __init__(self, *, table):
         super().__init__(table=table)
         self.jobs: dict[int, Job] = {}
-        self.peer_address = ""
         self.failure_domain = ""
 
     @property
@@ -182,7 +177,7 @@
                 )
             )
             self.table.store_era.observe(message.store_era, source="peer")
-            self.table.pull_newer_config(message.config_version, self)
+            self.table.spread.observe(message.config_version, self)
             if message.report is not None:
                 self.table.reports.add_report(
                     self.peer_address, message.report
@@ -202,7 +197,7 @@
         elif kind is ConfigPull:
             self.table.send_config(self, message.version)
         elif kind is ConfigCopy:
-            self.handle_config(message)
+            self.table.receive_config(message.document, near=self.near)
 
     def handle_call(self, call: Call):
         """Submit a call to the gate."""
@@ -259,6 +254,7 @@
     def __init__(self, *, peer):
         super().__init__(table=peer.table)
         self.peer = peer
+        self.peer_address = str(peer.address)
         self.pending: dict = {}
         self.last_ping_at = 0.0
         self.unanswered_since: float | None = None
@@ -321,10 +317,10 @@
             peer.reaches_store = message.reaches_store
             peer.slowness = message.slowness_percent / 100
             self.table.store_era.observe(message.store_era, source="peer")
-            self.table.pull_newer_config(message.config_version, self)
+            self.table.spread.observe(message.config_version, self)
         elif kind is Status:
             peer.handle_status(message)
-            self.table.pull_newer_config(message.config_version, self)
+            self.table.spread.observe(message.config_version, self)
         elif kind is Hello:
             peer.handle_hello(message)
             if message.evidence is not None:
@@ -332,7 +328,7 @@
         elif kind is ConfigPull:
             self.table.send_config(self, message.version)
         elif kind is ConfigCopy:
-            self.handle_config(message)
+            self.table.receive_config(message.document, near=self.near)
 
     def mark_alive(self):
         """Record that the peer is alive."""
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -204,7 +204,7 @@
             ),
             config_version=self.config_version,
             config_version_known=self.known_config_version,
-            config_behind_seconds=self.config_behind_seconds,
+            config_behind_seconds=lambda: self.peers.spread.behind_seconds(),
             store_era=lambda: self.peers.store_era.number,
             suspects=lambda: len(self.quarantine.suspects),
             store_reader=lambda: int(self.peers.was_store_reader),
@@ -276,23 +276,10 @@
 
     def known_config_version(self) -> int:
         """Return the newest version in force here or announced by a peer."""
-        return max(self.config_version(), self.peers.newer_version[0])
-
-    def config_behind_seconds(self) -> float:
-        """Return for how long a version newer than the one in force is known.
-
-        It is 0 if none is.
-        """
-        version, known_at = self.peers.newer_version
-        if version <= self.config_version():
-            return 0.0
-        return self.reactor.seconds() - known_at
+        return max(self.config_version(), self.peers.spread.known_version)
 
     def apply_config(self, document: bytes, source: ConfigSource):
-        """Apply a configuration document if it is valid and newer.
-
-        One that was read from the store is announced to near peers.
-        """
+        """Apply a configuration document if it is valid and newer."""
         try:
             route_table = self.parse_config(document)
         except ValueError as error:
@@ -321,7 +308,7 @@
                 "config_version": route_table.version,
                 "before": self.config_version(),
                 "routes": sum(map(len, route_table.hosts.values())),
-                "known_seconds": round(self.config_behind_seconds(), 3),
+                "known_seconds": round(self.peers.spread.behind_seconds(), 3),
             },
         )
         self.route_table = route_table
@@ -329,8 +316,7 @@
         self.forwarder.set_route_table(route_table)
         if self.gate.server.check is not None:
             self.gate.server.check.ask()
-        if source is ConfigSource.STORE:
-            self.peers.announce_config()
+        self.peers.spread.announce(source)
 
     # Start and stop.
 
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
 
 from logbook import Logger
 from twisted.internet.interfaces import IReactorTCP
@@ -12,9 +13,10 @@
 from twisted.internet.task import LoopingCall
 
 from flamingosail.proxy.balance import ServerGroup
+from flamingosail.proxy.configspread import ConfigSource
+from flamingosail.proxy.configspread import ConfigSpread
 from flamingosail.proxy.gate import Gate
 from flamingosail.proxy.hop import ConfigCopy
-from flamingosail.proxy.hop import ConfigPull
 from flamingosail.proxy.hop import DomainLoad
 from flamingosail.proxy.hop import Evidence
 from flamingosail.proxy.hop import Hello
@@ -43,9 +45,6 @@
 IDLE_PING_SECONDS = 4.0
 # Upper bound of the age of a far server's load if it is pinged each second.
 MAX_PINGED_LOAD_AGE_SECONDS = 1.2
-# A configuration that only far peers have is pulled from them after this time.
-# Normally a reader of our own failure domain has it by then.
-FAR_PULL_DELAY_SECONDS = 0.5
 
 log = Logger("proxy.peers")
 
@@ -58,12 +57,10 @@
     ``on_reports`` is called with the load reports of all nodes, ``on_config``
     with a configuration document that a peer sent and its ConfigSource.
     ``inbound`` holds the accepted connections, ``by_service`` the servers that
-    are not absent, ``last_pull`` the version and time of the last ConfigPull,
-    and ``newer_version`` the newest version that a peer announced with the
-    time of its first announcement. ``reaches_store`` is false if this node's
-    last call to the metadata store failed, ``store_era`` is the era of that
-    store. Near peers are in the failure domain of this node, far peers in
-    others.
+    are not absent, ``spread`` the exchange of configurations.
+    ``reaches_store`` is false if this node's last call to the metadata store
+    failed, ``store_era`` is the era of that store. Near peers are in the
+    failure domain of this node, far peers in others.
     """
 
     noisy = False
@@ -99,8 +96,12 @@
         self.peers: dict[Address, Peer] = {}
         self.inbound: set[InboundConnection] = set()
         self.groups: dict[str, ServerGroup] | None = None
-        self.last_pull = (0, 0.0)
-        self.newer_version = (0, 0.0)
+        self.spread = ConfigSpread(
+            clock=reactor,
+            config_version=config_version,
+            peers=lambda: self.peers.values(),
+            connections=self.connections,
+        )
         self.reaches_store = True
         self.store_era = StoreEra()
         self.was_store_reader = False
@@ -126,7 +127,8 @@
         self.clock.callLater(TICK_SECONDS, self.start)
 
     def stop(self):
-        """Stop the ticks, which ping, redial and send aggregates."""
+        """Stop the timers, which ping, redial, pull and send aggregates."""
+        self.spread.stop()
         if self.loop.running:
             self.loop.stop()
 
@@ -265,16 +267,6 @@
             if peer.connection is not None:
                 peer.connection.announce_evidence(news)
 
-    def announce_config(self):
-        """Tell the near peers that this node has a newer configuration.
-
-        Far peers get it from a reader in their own failure domain.
-        """
-        status = self.status()
-        for connection in list(self.inbound):
-            if connection.near:
-                connection.send(status)
-
     def set_reaches_store(self, reachable: bool):
         """Record whether the last call to the metadata store succeeded."""
         self.reaches_store = reachable
@@ -303,29 +295,18 @@
             )
         return reader
 
-    def pull_newer_config(self, version: int, connection: HopProtocol):
-        """Request a configuration that is newer than the one in force.
+    def connections(self) -> Iterator[HopProtocol]:
+        """Yield the open connections to other nodes and from them."""
+        for peer in self.peers.values():
+            if peer.connection is not None:
+                yield peer.connection
+        yield from self.inbound
 
-        A far peer is asked only if no near one had the version in time.
-        Unless ``version`` is newer than the last one requested, at most one
-        request is sent in TICK_SECONDS.
-        """
-        own = self.config_version()
-        if version <= own:
-            return
-        now = self.clock.seconds()
-        if version > self.newer_version[0]:
-            self.newer_version = (version, now)
-        if (
-            not connection.near
-            and now - self.newer_version[1] < FAR_PULL_DELAY_SECONDS
-            and any(peer.near and peer.usable for peer in self.peers.values())
-        ):
-            return
-        requested_version, requested_at = self.last_pull
-        if version > requested_version or now - requested_at > TICK_SECONDS:
-            self.last_pull = (version, now)
-            connection.send(ConfigPull(own))
+    def receive_config(self, document: bytes, *, near: bool):
+        """Pass on a configuration that another node has sent."""
+        self.on_config(
+            document, ConfigSource.NEAR_PEER if near else ConfigSource.FAR_PEER
+        )
 
     def send_config(self, connection: HopProtocol, version: int):
         """Reply to a ConfigPull if the configuration is newer."""
