Announce a new configuration to other failure domains

Cause: a version went from failure domain to failure domain only with pings, which come each 1 to 4 s.

A node that has a version from the store or from a far node now pings all near nodes and two nodes of each other failure domain, drawn anew each time, since any of them may be frozen or cut off. What is sent does not grow with the nodes of the other domains. A node that got it from a near one tells nobody. A node still waits 0.5 s for a near one before it pulls from far, so that the document crosses to a domain once or twice.

Ruled out: announcing to the readers of the other domains. They are known by their addresses only, and the same two nodes would be told each time.

--- a/flamingosail/proxy/configspread.py
+++ b/flamingosail/proxy/configspread.py
@@ -1,8 +1,9 @@
 """How configurations spread from the metadata store to all nodes.
 
 The readers of each failure domain (``flamingosail.proxy.readers``) get a new
-configuration from the store and announce its version to all near nodes; each
-node pulls it from one that announced it.
+configuration from the store. A node that has got it from there, or from
+another failure domain, announces its version to all near nodes and to a few
+nodes of each other domain; each node pulls it from one that announced it.
 Each message between nodes that carries a version is such an announcement, so
 that a lost one is made up for by later messages.
 
@@ -15,6 +16,7 @@
 from collections.abc import Iterable
 from enum import StrEnum
 from math import inf
+from random import Random
 
 from logbook import Logger
 
@@ -30,6 +32,9 @@
 # which grows by the same with each request, up to the maximum.
 RETRY_STEP_SECONDS = 0.5
 MAX_RETRY_SECONDS = 4.0
+# Nodes of each other failure domain that are told of a new version. Any of
+# them may be frozen or cut off, so they are drawn anew for each version.
+TOLD_PER_DOMAIN = 2
 
 log = Logger("proxy.configspread")
 
@@ -58,11 +63,13 @@
         self,
         *,
         clock,
+        random: Random,
         config_version: Callable[[], int],
         peers: Callable[[], Iterable[Peer]],
         connections: Callable[[], Iterable],
     ):
         self.clock = clock
+        self.random = random
         self.config_version = config_version
         self.peers = peers
         self.connections = connections
@@ -169,12 +176,31 @@
     # Announcing.
 
     def announce(self, source: ConfigSource):
-        """Tell near nodes of a version that was read from the store."""
+        """Tell other nodes of the version that has come into force.
+
+        A near node that this node got it from has told the others.
+        """
         if self.known_version <= self.config_version():
             self.stop()
-        if source is not ConfigSource.STORE:
+        if source is ConfigSource.NEAR_PEER:
             return
         now = self.clock.seconds()
+        for peer in self.peers_to_tell():
+            peer.connection.ping(now)
+
+    def peers_to_tell(self) -> list[Peer]:
+        """Return all near peers and a few of each other failure domain."""
+        near: list[Peer] = []
+        far: dict[str, list[Peer]] = {}
         for peer in self.peers():
-            if peer.near and peer.connection is not None:
-                peer.connection.ping(now)
+            if peer.connection is None:
+                continue
+            if peer.near:
+                near.append(peer)
+            elif peer.usable:
+                far.setdefault(peer.failure_domain, []).append(peer)
+        for domain_peers in far.values():
+            near += self.random.sample(
+                domain_peers, min(TOLD_PER_DOMAIN, len(domain_peers))
+            )
+        return near
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -144,6 +144,7 @@
         )
         self.peers = PeerTable(
             reactor=reactor,
+            random=random,
             gate=self.gate,
             local=self.local,
             own_address=config.advertised,
--- a/flamingosail/proxy/peers.py
+++ b/flamingosail/proxy/peers.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from random import Random
 
 from logbook import Logger
 from twisted.internet.interfaces import IReactorTCP
@@ -69,6 +70,7 @@
         self,
         *,
         reactor: IReactorTCP,
+        random: Random,
         gate: Gate,
         local: LocalServer,
         own_address: Address,
@@ -98,6 +100,7 @@
         self.groups: dict[str, ServerGroup] | None = None
         self.spread = ConfigSpread(
             clock=reactor,
+            random=random,
             config_version=config_version,
             peers=lambda: self.peers.values(),
             connections=self.connections,
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -69,6 +69,7 @@
         )
         self.table = PeerTable(
             reactor=self.clock,
+            random=Random(1),
             gate=gate,
             local=LocalServer(gate=gate, failure_domain="fd-a"),
             own_address=OWN,
