Let the soak silence connections and hold long polls

Both are faults of the soak now, and at the end of each run a further change has to be in force at all nodes within 2 s while the store ends no long poll with it.

--- a/experiments/platformsoak.py
+++ b/experiments/platformsoak.py
@@ -1,9 +1,10 @@
 """Fault soak: injects faults around real nodes and checks the guarantees.
 
 A seed determines the faults: connections through loopback proxies are
-delayed, reset, or dropped in one direction or both; nodes and servers are
-stopped, suspended, killed and started again, with overlaps; the store fails,
-loses its history, and comes back from an older copy; configurations change.
+delayed, reset, silenced, or dropped in one direction or both; nodes and
+servers are stopped, suspended, killed and started again, with overlaps; the
+store fails, loses its history, holds long polls to their end, and comes back
+from an older copy; configurations change.
 Meanwhile clients send requests. The responses and the runs at the backend
 servers are compared with the guarantees:
 
@@ -15,7 +16,9 @@
 - a node exits with code 0 unless it was killed,
 - a request that crashes servers crashes few of them,
 - after the faults, requests are served again, and all nodes have the newest
-  configuration in force.
+  configuration in force,
+- a further configuration is in force at all nodes in time, although the store
+  ends no long poll with it.
 """
 
 import asyncio
@@ -56,6 +59,8 @@
 LIMIT_WINDOW_SECONDS = 4.0
 STABILITY_SECONDS = 3.0
 DRAIN_SECONDS = 2.0
+CONFIG_APPLY_SECONDS = 2.0
+VERSION_CHECK_SECONDS = 0.05
 # Methods of Soak that inject a fault.
 FAULT_KINDS = (
     "inject_link_fault",
@@ -69,6 +74,8 @@
     "remove_server",
     "restore_store",
     "send_deadly_requests",
+    "silence_connections",
+    "hold_polls",
 )
 # The platform tolerates three crashes and three more sends, by nodes that were
 # not restarted, paused or cut off meanwhile.
@@ -134,6 +141,7 @@
             await self.inject_faults()
             await self.remove_faults()
             await self.check_recovery()
+            await self.check_configuration_time()
             self.load_running = False
             await asyncio.wait(clients, timeout=CLIENT_TIMEOUT_SECONDS + 1)
             for client in clients:
@@ -309,6 +317,31 @@
         await asyncio.sleep(self.random.uniform(0.5, 3.0))
         link.mode = ""
 
+    async def silence_connections(self):
+        """Silence all open connections, or those to one node or the store."""
+        name = self.random.choice(("", "store", self.random_vm()))
+        self.record_fault(f"silence {name or 'all'}")
+        for link_name, link in self.links.items():
+            if name in ("", link_name):
+                link.silence()
+
+    async def hold_polls(self):
+        """Let the store hold each long poll to its end for some seconds."""
+        self.record_fault("hold polls")
+        await self.set_store_faults({"holds_polls": True})
+        await asyncio.sleep(self.random.uniform(1.0, 4.0))
+        await self.set_store_faults({})
+
+    async def set_store_faults(self, faults: dict):
+        """Set the faults of the store; those that are left out end."""
+        await send_request(
+            HOST,
+            self.cluster.real_store_port,
+            "/faults",
+            json.dumps(faults).encode(),
+            {},
+        )
+
     async def pause_node(self):
         """Suspend a node for a while."""
         name = f"node-{self.random_vm()}"
@@ -405,11 +438,9 @@
             await send_request(HOST, port, "/drop-history", b"{}", {})
             return
         faults = {"delay": 0.5} if mode == "slow" else {"mode": mode}
-        await send_request(
-            HOST, port, "/faults", json.dumps(faults).encode(), {}
-        )
+        await self.set_store_faults(faults)
         await asyncio.sleep(self.random.uniform(0.5, 3.0))
-        await send_request(HOST, port, "/faults", b"{}", {})
+        await self.set_store_faults({})
 
     async def restore_store(self):
         """Let the store go away and come back from an older copy.
@@ -423,10 +454,10 @@
         port = self.cluster.real_store_port
         await send_request(HOST, port, "/copy", b"{}", {})
         await asyncio.sleep(self.random.uniform(0.5, 4.0))
-        await send_request(HOST, port, "/faults", b'{"mode": "reset"}', {})
+        await self.set_store_faults({"mode": "reset"})
         await asyncio.sleep(self.random.uniform(0.0, 2.0))
         await send_request(HOST, port, "/restore", b"{}", {})
-        await send_request(HOST, port, "/faults", b"{}", {})
+        await self.set_store_faults({})
         if self.random.random() < 0.5:
             await asyncio.sleep(self.random.uniform(0.0, 1.0))
         with suppress(OSError, TimeoutError):
@@ -464,9 +495,7 @@
         """Remove all faults; start the nodes that have exited again."""
         for link in self.links.values():
             link.mode = ""
-        await send_request(
-            HOST, self.cluster.real_store_port, "/faults", b"{}", {}
-        )
+        await self.set_store_faults({})
         for name in self.cluster.vms:
             process = self.cluster.processes[f"node-{name}"]
             process.send_signal(signal.SIGCONT)
@@ -499,6 +528,26 @@
             f" {versions} in force, {self.version} written"
         )
 
+    async def check_configuration_time(self):
+        """Check that a change is in force in time if it ends no long poll."""
+        await self.set_store_faults({"holds_polls": True})
+        # Ends the long polls that began before.
+        await self.write_configuration()
+        await asyncio.sleep(CONFIG_APPLY_SECONDS)
+        await self.write_configuration()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + CONFIG_APPLY_SECONDS
+        versions = await self.versions_in_force()
+        while versions != {self.version} and loop.time() < deadline:
+            await asyncio.sleep(VERSION_CHECK_SECONDS)
+            versions = await self.versions_in_force()
+        if versions != {self.version}:
+            self.record_violation(
+                f"versions {versions} in force {CONFIG_APPLY_SECONDS} s after"
+                f" {self.version} was written"
+            )
+        await self.set_store_faults({})
+
     async def versions_in_force(self) -> set[int]:
         """Return the versions of the configuration at the nodes."""
         start = b"\nflamingosail_config_version "
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -31,6 +31,15 @@
     "inject_link_fault",
     "stop_node",
 )
+SILENCE_SEED = 4
+SILENCE_SECONDS = 10.0
+SILENCE_KINDS = (
+    "silence_connections",
+    "hold_polls",
+    "change_configuration",
+    "pause_node",
+    "kill_node",
+)
 TERMS_KINDS = ("limit_server", "limit_server", "remove_server", "kill_node")
 
 
@@ -62,6 +71,15 @@
         self.assertEqual([], report.violations, folder)
         self.assertIn("deadly", report.faults)
 
+    def test_silent_connections_hold_up_no_configuration(self):
+        """Guards against nodes left behind by a poll that nothing ends."""
+        report, folder = run_soak(
+            seed=SILENCE_SEED, seconds=SILENCE_SECONDS, kinds=SILENCE_KINDS
+        )
+        self.assertEqual([], report.violations, folder)
+        kinds = {fault.split()[0] for fault in report.faults}
+        self.assertLessEqual({"silence", "hold", "configuration"}, kinds)
+
     def test_servers_get_what_they_state_to_take(self):
         """Guards against servers overloaded in spite of a stated limit."""
         report, folder = run_soak(
