Name the wait for a near node, and give the connections their types

A read of the diff: the condition for a second pull had to be read twice, and the connections of ConfigSpread had no type. The setting of the time to apply a configuration gets its test. No decision changes.

--- a/flamingosail/proxy/configspread.py
+++ b/flamingosail/proxy/configspread.py
@@ -21,6 +21,7 @@
 from logbook import Logger
 
 from flamingosail.proxy.hop import ConfigPull
+from flamingosail.proxy.hopconnection import HopProtocol
 from flamingosail.proxy.peer import Peer
 
 __all__ = ["ConfigSource", "ConfigSpread"]
@@ -28,8 +29,8 @@
 # A version that only far nodes have is pulled from one of them after this
 # time. Normally a reader of this failure domain has it by then.
 FAR_PULL_DELAY_SECONDS = 0.5
-# Another node is asked if the configuration has not arrived after this time,
-# which grows by the same with each request, up to the maximum.
+# Another node is asked if the configuration has not arrived after this time
+# for each request so far, at most after the maximum.
 RETRY_STEP_SECONDS = 0.5
 MAX_RETRY_SECONDS = 4.0
 # Nodes of each other failure domain that are told of a new version. Any of
@@ -52,11 +53,10 @@
 
     ``config_version`` returns the version in force at this node, ``peers`` the
     nodes that it knows and ``connections`` the open connections to and from
-    them (``hopconnection.HopProtocol``). ``known_version`` is the newest
-    version that another node has announced, since ``known_at`` (the clock's
-    time). ``requests`` counts the pulls sent for it, ``pulled_at`` has the
-    time of the last one by the address of the node asked, and ``next_pull`` is
-    the timer of the next one.
+    them. ``known_version`` is the newest version that another node has
+    announced, since ``known_at`` (the clock's time). ``requests`` counts the
+    pulls sent for it, ``pulled_at`` has the time of the last one by the
+    address of the node asked, and ``next_pull`` is the timer of the next one.
     """
 
     def __init__(
@@ -66,7 +66,7 @@
         random: Random,
         config_version: Callable[[], int],
         peers: Callable[[], Iterable[Peer]],
-        connections: Callable[[], Iterable],
+        connections: Callable[[], Iterable[HopProtocol]],
     ):
         self.clock = clock
         self.random = random
@@ -81,7 +81,12 @@
 
     # Pulling.
 
-    def observe(self, version: int, connection):
+    @property
+    def waits_for_near_node(self) -> bool:
+        """Whether a far node has the known version and was not asked yet."""
+        return self.next_pull is not None and not self.requests
+
+    def observe(self, version: int, connection: HopProtocol):
         """Record the version that the other end of a connection announced."""
         connection.announced_version = version
         if version <= self.config_version():
@@ -92,13 +97,16 @@
             self.requests = 0
             self.pulled_at.clear()
             self.pull()
-        elif self.next_pull is None or (connection.near and not self.requests):
+        elif self.next_pull is None or (
+            connection.near and self.waits_for_near_node
+        ):
             self.pull()
 
     def pull(self):
         """Request a newer configuration that is known, if it is time to.
 
-        The timer is set while there is one to be requested or to arrive.
+        The timer stays set until the configuration has arrived or no node is
+        left that announced it.
         """
         self.stop()
         source = self.choose_source()
@@ -124,7 +132,7 @@
             min(MAX_RETRY_SECONDS, RETRY_STEP_SECONDS * self.requests)
         )
 
-    def choose_source(self):
+    def choose_source(self) -> HopProtocol | None:
         """Return the connection to pull on, None if no node has announced it.
 
         Nodes that were not asked come first, then those asked longest ago;
@@ -178,7 +186,7 @@
     def announce(self, source: ConfigSource):
         """Tell other nodes of the version that has come into force.
 
-        A near node that this node got it from has told the others.
+        The near node that this node may have got it from has told the others.
         """
         if self.known_version <= self.config_version():
             self.stop()
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -205,7 +205,7 @@
             ),
             config_version=self.config_version,
             config_version_known=self.known_config_version,
-            config_behind_seconds=lambda: self.peers.spread.behind_seconds(),
+            config_behind_seconds=self.peers.spread.behind_seconds,
             store_era=lambda: self.peers.store_era.number,
             suspects=lambda: len(self.quarantine.suspects),
             store_reader=lambda: int(self.peers.was_store_reader),
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -129,6 +129,13 @@
         settings = parse_platform_settings(SETTINGS + "limits.memoryMb=552\n")
         self.assertEqual(552_000_000, settings.memory_bytes)
 
+    def test_the_time_to_apply_a_configuration_has_a_default(self):
+        settings = parse_platform_settings(SETTINGS)
+        self.assertEqual(2.0, settings.config_apply_seconds)
+        text = SETTINGS.replace("drainS=2", "drainS=2,configApplyS=2.5")
+        settings = parse_platform_settings(text)
+        self.assertEqual(2.5, settings.config_apply_seconds)
+
     def test_all_invalid_settings_are_reported(self):
         text = SETTINGS.replace("appAddr=10.1.0.8:8301", "appAddr=here")
         text = text.replace("drainS=2", "drainS=-2").replace("node=", "n=")
