Divide the proxy package by what decides, what is shared, what speaks

34 modules lay side by side in flamingosail/proxy/. policy/ now holds what decides and needs no network, shared/ what nodes know and tell each other, transport/ what speaks on sockets; forward, gate, node and what they share stay.

--- a/flamingosail/proxy/exchange.py
+++ b/flamingosail/proxy/exchange.py
@@ -4,7 +4,7 @@
 
 from flamingosail.httpwire import BODILESS
 from flamingosail.httpwire import status_line
-from flamingosail.proxy.routes import ClientLimits
+from flamingosail.proxy.shared.routes import ClientLimits
 
 __all__ = ["Exchange", "ExchangeHandler"]
 
--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -6,31 +6,31 @@
 from msgspec.json import encode
 from twisted.internet.interfaces import IReactorTime
 
-from flamingosail.proxy.balance import LoadBalancer
-from flamingosail.proxy.budget import RetryBudget
 from flamingosail.proxy.decisions import DecisionLog
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.exchange import Exchange
-from flamingosail.proxy.fingerprint import request_fingerprint
 from flamingosail.proxy.forwarding import Attempt
 from flamingosail.proxy.forwarding import ForwardedRequest
 from flamingosail.proxy.gate import CHILD_CALL_FAILED
 from flamingosail.proxy.gate import QUARANTINED
-from flamingosail.proxy.hop import Outcome
 from flamingosail.proxy.job import Job
 from flamingosail.proxy.nodemetrics import NodeMetrics
-from flamingosail.proxy.overload import Admission
-from flamingosail.proxy.overload import LoadMeter
-from flamingosail.proxy.overload import LoadReport
-from flamingosail.proxy.overload import route_key
-from flamingosail.proxy.peers import PeerTable
-from flamingosail.proxy.quarantine import Quarantine
-from flamingosail.proxy.quarantine import Verdict
-from flamingosail.proxy.routes import ClientLimits
-from flamingosail.proxy.routes import RouteTable
-from flamingosail.proxy.routes import WeightedRoundRobin
-from flamingosail.proxy.servers import RemoteServer
+from flamingosail.proxy.policy.balance import LoadBalancer
+from flamingosail.proxy.policy.budget import RetryBudget
+from flamingosail.proxy.policy.fingerprint import request_fingerprint
+from flamingosail.proxy.policy.overload import Admission
+from flamingosail.proxy.policy.overload import LoadMeter
+from flamingosail.proxy.policy.overload import LoadReport
+from flamingosail.proxy.policy.overload import route_key
+from flamingosail.proxy.policy.quarantine import Quarantine
+from flamingosail.proxy.policy.quarantine import Verdict
+from flamingosail.proxy.shared.routes import ClientLimits
+from flamingosail.proxy.shared.routes import RouteTable
+from flamingosail.proxy.shared.routes import WeightedRoundRobin
+from flamingosail.proxy.shared.servers import RemoteServer
 from flamingosail.proxy.timeouts import Timeouts
+from flamingosail.proxy.transport.hop import Outcome
+from flamingosail.proxy.transport.peers import PeerTable
 
 __all__ = ["Forwarder"]
 
--- a/flamingosail/proxy/forwarding.py
+++ b/flamingosail/proxy/forwarding.py
@@ -2,10 +2,10 @@
 
 from flamingosail.proxy.exchange import Exchange
 from flamingosail.proxy.gate import CHILD_CALL_FAILED
-from flamingosail.proxy.hop import Outcome
 from flamingosail.proxy.job import Job
-from flamingosail.proxy.routes import Route
-from flamingosail.proxy.servers import RemoteServer
+from flamingosail.proxy.shared.routes import Route
+from flamingosail.proxy.shared.servers import RemoteServer
+from flamingosail.proxy.transport.hop import Outcome
 
 __all__ = ["Attempt", "ForwardedRequest"]
 
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -13,22 +13,22 @@
 from logbook import Logger
 from twisted.internet.interfaces import IReactorTime
 
-from flamingosail.proxy.backendserver import CONNECTION_LOST
-from flamingosail.proxy.backendserver import ServerRequest
-from flamingosail.proxy.backendserver import ServerResponse
-from flamingosail.proxy.crashes import CrashRecorder
-from flamingosail.proxy.crashwatch import CrashWatch
 from flamingosail.proxy.decisions import DecisionLog
 from flamingosail.proxy.dialect import Dialect
-from flamingosail.proxy.hop import Outcome
 from flamingosail.proxy.job import Job
 from flamingosail.proxy.nodemetrics import NodeMetrics
-from flamingosail.proxy.overload import LoadMeter
-from flamingosail.proxy.quarantine import Quarantine
-from flamingosail.proxy.quarantine import Verdict
-from flamingosail.proxy.serverpool import ServerPool
-from flamingosail.proxy.serverstate import ServerState
+from flamingosail.proxy.policy.crashes import CrashRecorder
+from flamingosail.proxy.policy.crashwatch import CrashWatch
+from flamingosail.proxy.policy.overload import LoadMeter
+from flamingosail.proxy.policy.quarantine import Quarantine
+from flamingosail.proxy.policy.quarantine import Verdict
+from flamingosail.proxy.shared.serverstate import ServerState
 from flamingosail.proxy.timeouts import Timeouts
+from flamingosail.proxy.transport.backendserver import CONNECTION_LOST
+from flamingosail.proxy.transport.backendserver import ServerRequest
+from flamingosail.proxy.transport.backendserver import ServerResponse
+from flamingosail.proxy.transport.hop import Outcome
+from flamingosail.proxy.transport.serverpool import ServerPool
 
 __all__ = ["CHILD_CALL_FAILED", "Gate", "QUARANTINED"]
 
--- a/flamingosail/proxy/job.py
+++ b/flamingosail/proxy/job.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from flamingosail.proxy.fingerprint import request_fingerprint
+from flamingosail.proxy.policy.fingerprint import request_fingerprint
 
 __all__ = ["Job", "ServerReport"]
 
--- /dev/null
+++ b/flamingosail/proxy/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load and failure; they need no network."""
--- a/flamingosail/proxy/balance.py
+++ b/flamingosail/proxy/policy/balance.py
@@ -16,7 +16,7 @@
 from itertools import chain
 from random import Random
 
-from flamingosail.proxy.servers import RemoteServer
+from flamingosail.proxy.shared.servers import RemoteServer
 
 __all__ = ["LoadBalancer", "ServerGroup"]
 
--- a/flamingosail/proxy/crashes.py
+++ b/flamingosail/proxy/policy/crashes.py
@@ -7,8 +7,8 @@
 
 from flamingosail.proxy.job import Job
 from flamingosail.proxy.nodemetrics import NodeMetrics
-from flamingosail.proxy.quarantine import Quarantine
-from flamingosail.proxy.serverstate import ServerState
+from flamingosail.proxy.policy.quarantine import Quarantine
+from flamingosail.proxy.shared.serverstate import ServerState
 
 __all__ = ["CrashRecorder"]
 
--- a/flamingosail/proxy/crashwatch.py
+++ b/flamingosail/proxy/policy/crashwatch.py
@@ -10,7 +10,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from flamingosail.proxy.job import Job
-from flamingosail.proxy.serverpool import ServerPool
+from flamingosail.proxy.transport.serverpool import ServerPool
 
 __all__ = ["CrashWatch"]
 
--- a/flamingosail/proxy/quarantine.py
+++ b/flamingosail/proxy/policy/quarantine.py
@@ -22,9 +22,9 @@
 from logbook import Logger
 from twisted.internet.interfaces import IReactorTime
 
-from flamingosail.proxy.hop import Clearance
-from flamingosail.proxy.hop import CrashEvidence
-from flamingosail.proxy.hop import Evidence
+from flamingosail.proxy.transport.hop import Clearance
+from flamingosail.proxy.transport.hop import CrashEvidence
+from flamingosail.proxy.transport.hop import Evidence
 
 __all__ = ["Quarantine", "Verdict"]
 
--- /dev/null
+++ b/flamingosail/proxy/shared/__init__.py
@@ -0,0 +1,1 @@
+"""What a node knows and shares with the other nodes."""
--- a/flamingosail/proxy/configspread.py
+++ b/flamingosail/proxy/shared/configspread.py
@@ -1,6 +1,6 @@
 """How configurations spread from the metadata store to all nodes.
 
-The readers of each failure domain (``flamingosail.proxy.readers``) get a new
+The readers of each failure domain (``proxy.policy.readers``) get a new
 configuration from the store. A node that has got it from there, or from
 another failure domain, announces its version to all near nodes and to a few
 nodes of each other domain; each node pulls it from one that announced it.
@@ -20,9 +20,9 @@
 
 from logbook import Logger
 
-from flamingosail.proxy.hop import ConfigPull
-from flamingosail.proxy.hopconnection import HopProtocol
-from flamingosail.proxy.peer import Peer
+from flamingosail.proxy.transport.hop import ConfigPull
+from flamingosail.proxy.transport.hopconnection import HopProtocol
+from flamingosail.proxy.transport.peer import Peer
 
 __all__ = ["ConfigSource", "ConfigSpread"]
 
--- a/flamingosail/proxy/loadreports.py
+++ b/flamingosail/proxy/shared/loadreports.py
@@ -11,8 +11,8 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from flamingosail.proxy.overload import add_scaled
-from flamingosail.proxy.overload import LoadReport
+from flamingosail.proxy.policy.overload import add_scaled
+from flamingosail.proxy.policy.overload import LoadReport
 
 __all__ = ["AGGREGATE_INTERVAL_SECONDS", "LoadReports", "aggregate_by_service"]
 
--- a/flamingosail/proxy/serverstate.py
+++ b/flamingosail/proxy/shared/serverstate.py
@@ -10,12 +10,12 @@
 from logbook import Logger
 from twisted.internet.interfaces import IReactorTime
 
-from flamingosail.proxy.backendserver import ServerResponse
-from flamingosail.proxy.hop import ServerTerms
 from flamingosail.proxy.job import ServerReport
-from flamingosail.proxy.ratelimit import RateLimiter
-from flamingosail.proxy.servercheck import ServerCheck
-from flamingosail.proxy.speed import SpeedMeter
+from flamingosail.proxy.policy.ratelimit import RateLimiter
+from flamingosail.proxy.policy.speed import SpeedMeter
+from flamingosail.proxy.transport.backendserver import ServerResponse
+from flamingosail.proxy.transport.hop import ServerTerms
+from flamingosail.proxy.transport.servercheck import ServerCheck
 
 __all__ = ["ServerState"]
 
--- /dev/null
+++ b/flamingosail/proxy/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to clients, other nodes and the backend server."""
--- a/flamingosail/proxy/client.py
+++ b/flamingosail/proxy/transport/client.py
@@ -20,7 +20,7 @@
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.exchange import Exchange
 from flamingosail.proxy.exchange import ExchangeHandler
-from flamingosail.proxy.routes import ClientLimits
+from flamingosail.proxy.shared.routes import ClientLimits
 from flamingosail.sockets import disable_nagle
 from flamingosail.sockets import write_now
 
--- a/flamingosail/proxy/hop.py
+++ b/flamingosail/proxy/transport/hop.py
@@ -13,7 +13,7 @@
 
 from flamingosail.decoding import decode_untrusted
 from flamingosail.errors import CodecError
-from flamingosail.proxy.overload import LoadReport
+from flamingosail.proxy.policy.overload import LoadReport
 
 __all__ = [
     "Call",
--- a/flamingosail/proxy/peer.py
+++ b/flamingosail/proxy/transport/peer.py
@@ -6,15 +6,15 @@
 from msgspec.structs import replace
 from twisted.internet.protocol import ClientFactory
 
-from flamingosail.proxy.hop import Cancel
-from flamingosail.proxy.hop import Hello
-from flamingosail.proxy.hop import ServerTerms
-from flamingosail.proxy.hop import Status
-from flamingosail.proxy.hopconnection import OutboundConnection
-from flamingosail.proxy.overload import LoadReport
-from flamingosail.proxy.overload import USAGE_SCALE
-from flamingosail.proxy.servers import drain_deadline
-from flamingosail.proxy.servers import RemoteServer
+from flamingosail.proxy.policy.overload import LoadReport
+from flamingosail.proxy.policy.overload import USAGE_SCALE
+from flamingosail.proxy.shared.servers import drain_deadline
+from flamingosail.proxy.shared.servers import RemoteServer
+from flamingosail.proxy.transport.hop import Cancel
+from flamingosail.proxy.transport.hop import Hello
+from flamingosail.proxy.transport.hop import ServerTerms
+from flamingosail.proxy.transport.hop import Status
+from flamingosail.proxy.transport.hopconnection import OutboundConnection
 from flamingosail.settings import Address
 
 __all__ = ["FAR_PING_SECONDS", "Peer"]
--- a/flamingosail/proxy/servercheck.py
+++ b/flamingosail/proxy/transport/servercheck.py
@@ -11,10 +11,10 @@
 from logbook import Logger
 from twisted.internet.interfaces import IReactorTime
 
-from flamingosail.proxy.backendserver import ServerRequest
-from flamingosail.proxy.backendserver import ServerResponse
 from flamingosail.proxy.job import ServerReport
-from flamingosail.proxy.serverpool import ServerPool
+from flamingosail.proxy.transport.backendserver import ServerRequest
+from flamingosail.proxy.transport.backendserver import ServerResponse
+from flamingosail.proxy.transport.serverpool import ServerPool
 
 __all__ = ["ServerCheck"]
 
--- a/flamingosail/proxy/serverpool.py
+++ b/flamingosail/proxy/transport/serverpool.py
@@ -9,9 +9,9 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.internet.protocol import Protocol
 
-from flamingosail.proxy.backendserver import ServerConnection
-from flamingosail.proxy.backendserver import ServerRequest
 from flamingosail.proxy.dialect import Dialect
+from flamingosail.proxy.transport.backendserver import ServerConnection
+from flamingosail.proxy.transport.backendserver import ServerRequest
 from flamingosail.settings import Address
 
 __all__ = ["ServerPool"]
--- a/tests/proxyfakes.py
+++ b/tests/proxyfakes.py
@@ -7,7 +7,6 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.internet.testing import StringTransport
 
-from flamingosail.proxy.backendserver import ServerResponse
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.gate import Gate
 from flamingosail.proxy.job import Job
@@ -15,13 +14,14 @@
 from flamingosail.proxy.node import NodeConfig
 from flamingosail.proxy.node import ProxyNode
 from flamingosail.proxy.nodemetrics import NodeMetrics
-from flamingosail.proxy.overload import LoadMeter
-from flamingosail.proxy.quarantine import Quarantine
-from flamingosail.proxy.routes import ClientLimits
-from flamingosail.proxy.routes import Route
-from flamingosail.proxy.routes import RouteTable
-from flamingosail.proxy.routes import WeightedService
-from flamingosail.proxy.serverstate import ServerState
+from flamingosail.proxy.policy.overload import LoadMeter
+from flamingosail.proxy.policy.quarantine import Quarantine
+from flamingosail.proxy.shared.routes import ClientLimits
+from flamingosail.proxy.shared.routes import Route
+from flamingosail.proxy.shared.routes import RouteTable
+from flamingosail.proxy.shared.routes import WeightedService
+from flamingosail.proxy.shared.serverstate import ServerState
+from flamingosail.proxy.transport.backendserver import ServerResponse
 from flamingosail.settings import Address
 
 DIALECT = Dialect(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -16,7 +16,7 @@
 
 from experiments.platformcluster import configuration
 from flamingosail.errors import CodecError
-from flamingosail.proxy.hop import FrameBuffer
+from flamingosail.proxy.transport.hop import FrameBuffer
 from flamingosail.settings import Address
 from tests.test_store_restored import StandInClient
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -18,10 +18,10 @@
 from testtools import TestCase
 from twisted.internet.testing import MemoryReactorClock
 
-from flamingosail.proxy.configspread import ConfigSource
-from flamingosail.proxy.hop import encode_frame
 from flamingosail.proxy.node import NodeConfig
 from flamingosail.proxy.node import ProxyNode
+from flamingosail.proxy.shared.configspread import ConfigSource
+from flamingosail.proxy.transport.hop import encode_frame
 from flamingosail.settings import Address
 
 SETTINGS = """\
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -24,7 +24,7 @@
 from twisted.internet.task import deferLater
 from twisted.internet.testing import MemoryReactorClock
 
-from flamingosail.proxy.storeera import StoreEra
+from flamingosail.proxy.shared.storeera import StoreEra
 from flamingosail.settings import Address
 from tests.proxyfakes import ClosingTransport
 
--- a/tests/test_proxy_balance.py
+++ b/tests/test_proxy_balance.py
@@ -6,9 +6,9 @@
 from testtools import TestCase
 from twisted.internet.task import Clock
 
-from flamingosail.proxy.balance import LoadBalancer
-from flamingosail.proxy.balance import ServerGroup
-from flamingosail.proxy.servers import RemoteServer
+from flamingosail.proxy.policy.balance import LoadBalancer
+from flamingosail.proxy.policy.balance import ServerGroup
+from flamingosail.proxy.shared.servers import RemoteServer
 
 __all__ = []
 
--- a/tests/test_proxy_budget.py
+++ b/tests/test_proxy_budget.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 from twisted.internet.task import Clock
 
-from flamingosail.proxy.budget import RetryBudget
+from flamingosail.proxy.policy.budget import RetryBudget
 
 __all__ = []
 
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -6,13 +6,13 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
-from flamingosail.proxy.backendserver import MAX_REFUSED_IDS
-from flamingosail.proxy.backendserver import parse_rate
-from flamingosail.proxy.backendserver import ServerConnection
-from flamingosail.proxy.backendserver import ServerRequest
-from flamingosail.proxy.client import ClientListener
-from flamingosail.proxy.routes import ClientLimits
-from flamingosail.proxy.serverpool import ServerPool
+from flamingosail.proxy.shared.routes import ClientLimits
+from flamingosail.proxy.transport.backendserver import MAX_REFUSED_IDS
+from flamingosail.proxy.transport.backendserver import parse_rate
+from flamingosail.proxy.transport.backendserver import ServerConnection
+from flamingosail.proxy.transport.backendserver import ServerRequest
+from flamingosail.proxy.transport.client import ClientListener
+from flamingosail.proxy.transport.serverpool import ServerPool
 from flamingosail.settings import Address
 from tests.proxyfakes import ClosingTransport
 from tests.proxyfakes import DIALECT
--- a/tests/test_proxy_crashes.py
+++ b/tests/test_proxy_crashes.py
@@ -3,9 +3,9 @@
 from testtools import TestCase
 from twisted.internet.testing import MemoryReactorClock
 
-from flamingosail.proxy.backendserver import CONNECTION_LOST
-from flamingosail.proxy.fingerprint import request_fingerprint
-from flamingosail.proxy.hop import Outcome
+from flamingosail.proxy.policy.fingerprint import request_fingerprint
+from flamingosail.proxy.transport.backendserver import CONNECTION_LOST
+from flamingosail.proxy.transport.hop import Outcome
 from tests.proxyfakes import FakePool
 from tests.proxyfakes import make_gate
 from tests.proxyfakes import make_job
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -5,8 +5,8 @@
 from testtools import TestCase
 from twisted.internet.testing import MemoryReactorClock
 
-from flamingosail.proxy.hop import Outcome
-from flamingosail.proxy.servercheck import ServerCheck
+from flamingosail.proxy.transport.hop import Outcome
+from flamingosail.proxy.transport.servercheck import ServerCheck
 from tests.proxyfakes import FakePool
 from tests.proxyfakes import make_gate
 from tests.proxyfakes import make_job
--- a/tests/test_proxy_hop.py
+++ b/tests/test_proxy_hop.py
@@ -6,14 +6,14 @@
 from testtools import TestCase
 
 from flamingosail.errors import CodecError
-from flamingosail.proxy.hop import Call
-from flamingosail.proxy.hop import encode_frame
-from flamingosail.proxy.hop import FrameBuffer
-from flamingosail.proxy.hop import HeaderTable
-from flamingosail.proxy.hop import MAX_FRAME_BYTES
-from flamingosail.proxy.hop import MAX_TABLE_ENTRIES
-from flamingosail.proxy.hop import Ping
-from flamingosail.proxy.overload import LoadReport
+from flamingosail.proxy.policy.overload import LoadReport
+from flamingosail.proxy.transport.hop import Call
+from flamingosail.proxy.transport.hop import encode_frame
+from flamingosail.proxy.transport.hop import FrameBuffer
+from flamingosail.proxy.transport.hop import HeaderTable
+from flamingosail.proxy.transport.hop import MAX_FRAME_BYTES
+from flamingosail.proxy.transport.hop import MAX_TABLE_ENTRIES
+from flamingosail.proxy.transport.hop import Ping
 
 
 def make_call(body: bytes = b"") -> Call:
--- a/tests/test_proxy_overload.py
+++ b/tests/test_proxy_overload.py
@@ -5,10 +5,10 @@
 from testtools import TestCase
 from twisted.internet.task import Clock
 
-from flamingosail.proxy.overload import Admission
-from flamingosail.proxy.overload import LoadMeter
-from flamingosail.proxy.overload import LoadReport
-from flamingosail.proxy.overload import route_key
+from flamingosail.proxy.policy.overload import Admission
+from flamingosail.proxy.policy.overload import LoadMeter
+from flamingosail.proxy.policy.overload import LoadReport
+from flamingosail.proxy.policy.overload import route_key
 
 READ, CHECK = route_key("r-read"), route_key("r-check")
 PRIORITIES = {READ: 2, CHECK: 1}
--- a/tests/test_proxy_ratelimit.py
+++ b/tests/test_proxy_ratelimit.py
@@ -3,9 +3,9 @@
 from testtools import TestCase
 from twisted.internet.testing import MemoryReactorClock
 
-from flamingosail.proxy.hop import Outcome
-from flamingosail.proxy.hop import ServerTerms
-from flamingosail.proxy.ratelimit import RAISE_DELAY_SECONDS
+from flamingosail.proxy.policy.ratelimit import RAISE_DELAY_SECONDS
+from flamingosail.proxy.transport.hop import Outcome
+from flamingosail.proxy.transport.hop import ServerTerms
 from tests.proxyfakes import FakePool
 from tests.proxyfakes import make_gate
 from tests.proxyfakes import make_job
--- a/tests/test_proxy_readers.py
+++ b/tests/test_proxy_readers.py
@@ -4,10 +4,10 @@
 
 from testtools import TestCase
 
-from flamingosail.proxy.readers import is_reader
-from flamingosail.proxy.readers import MAX_READERS_PER_DOMAIN
-from flamingosail.proxy.readers import ReaderCandidate
-from flamingosail.proxy.readers import READERS_PER_DOMAIN
+from flamingosail.proxy.policy.readers import is_reader
+from flamingosail.proxy.policy.readers import MAX_READERS_PER_DOMAIN
+from flamingosail.proxy.policy.readers import ReaderCandidate
+from flamingosail.proxy.policy.readers import READERS_PER_DOMAIN
 
 MAX_NODES = 7
 
--- a/tests/test_proxy_stop.py
+++ b/tests/test_proxy_stop.py
@@ -3,7 +3,7 @@
 from testtools import TestCase
 from twisted.internet.testing import MemoryReactorClock
 
-from flamingosail.proxy.configspread import ConfigSource
+from flamingosail.proxy.shared.configspread import ConfigSource
 from tests.proxyfakes import ClosingTransport
 from tests.proxyfakes import FakePool
 from tests.proxyfakes import make_node
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -16,7 +16,7 @@
 from twisted.internet.task import Clock
 
 from flamingosail.httpclient import HttpResponse
-from flamingosail.proxy.storeera import StoreEra
+from flamingosail.proxy.shared.storeera import StoreEra
 from flamingosail.settings import Address
 
 
