Decode client accounts, public routes and latency aims

A configuration may list client accounts (tenants) with their keys, priority and rate. Nothing knew of them: the key of a client was passed on to servers. A document with a doubtful account (no name, an empty key, a key twice or of two accounts, a negative number) is refused whole, as one with a doubtful route is; the message names the entry and contains no key. Clients' key and account headers are no longer forwarded. The priority of an account precedes that of the route in the rank of a request.

--- a/flamingosail/proxy/dialect.py
+++ b/flamingosail/proxy/dialect.py
@@ -12,7 +12,8 @@
 class Dialect:
     """The names of a platform's headers, in lower case.
 
-    ``deadline`` holds the remaining time in milliseconds,
+    ``deadline`` holds the remaining time in milliseconds, ``credential`` the
+    key of a client account, ``tenant`` the name of the account that holds it,
     ``expected_instance`` the only server instance that may run the request,
     and ``caller_service`` the service of the VM at which the request entered.
     In responses, ``not_executed`` is present if the server did not run the
@@ -26,6 +27,8 @@
     request_id: bytes
     deadline: bytes
     expected_instance: bytes
+    credential: bytes
+    tenant: bytes
     caller_service: bytes
     not_executed: bytes
     signature: bytes
--- a/flamingosail/proxy/exchange.py
+++ b/flamingosail/proxy/exchange.py
@@ -26,7 +26,9 @@
 
     ``output`` holds the header and the body of the response;
     ``connection.flush`` is called when it is set. ``head`` holds the request's
-    header lines that are forwarded, without its id. ``timeout_ms`` is how
+    header lines that are forwarded, without its id. ``credential`` is the key
+    of a client account, None if the request has none, empty if it has more
+    than one or an unusable one. ``timeout_ms`` is how
     long the client waits, None if not stated, and ``arrived_at`` the reactor's
     time at which its header was complete.
     ``request`` belongs to the handler. ``done`` is set when the request has
@@ -42,6 +44,7 @@
         "host",
         "head",
         "body",
+        "credential",
         "timeout_ms",
         "keep_alive",
         "output",
@@ -57,6 +60,7 @@
         self.host = b""
         self.head: list[bytes] = []
         self.body = b""
+        self.credential: bytes | None = None
         self.timeout_ms = None
         self.keep_alive = True
         self.output = None
@@ -86,5 +90,6 @@
         Timers keep ended requests until their deadline.
         """
         self.request = None
+        self.credential = None
         self.body = b""
         self.head = []
--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -25,9 +25,11 @@
 from flamingosail.proxy.policy.quarantine import Quarantine
 from flamingosail.proxy.policy.quarantine import Verdict
 from flamingosail.proxy.shared.routes import ClientLimits
+from flamingosail.proxy.shared.routes import Route
 from flamingosail.proxy.shared.routes import RouteTable
 from flamingosail.proxy.shared.routes import WeightedRoundRobin
 from flamingosail.proxy.shared.servers import RemoteServer
+from flamingosail.proxy.shared.tenants import Tenant
 from flamingosail.proxy.timeouts import Timeouts
 from flamingosail.proxy.transport.hop import Outcome
 from flamingosail.proxy.transport.peers import PeerTable
@@ -48,6 +50,8 @@
 # The gate gets an earlier deadline, so that its rejection of an expired
 # request arrives before this node's own timeout.
 GATE_DEADLINE_MARGIN_SECONDS = 0.01
+# Priorities of routes that are distinguished within one of a client account.
+ROUTE_PRIORITIES = 64
 
 
 # Tells the client why a request is not sent to a server (RFC 9457).
@@ -223,7 +227,7 @@
             return False
         request.is_root = True
         key = request.root_route = self.route_keys[route.name]
-        request.rank = 2 * route.priority + 1
+        request.rank = 2 * request_priority(route, request.tenant) + 1
         admitted = self.admission.admit(key)
         self.meter.record_arrival(key, admitted=admitted)
         if not admitted:
@@ -560,6 +564,15 @@
         }
 
 
+def request_priority(route: Route, tenant: Tenant | None) -> int:
+    """Return the priority of a root request; that of its account precedes."""
+    if tenant is None or tenant.priority is None:
+        return route.priority
+    return tenant.priority * ROUTE_PRIORITIES + min(
+        route.priority, ROUTE_PRIORITIES - 1
+    )
+
+
 def rounded(numbers: dict) -> dict:
     """Return the numbers rounded to three decimals for a log line."""
     return {key: round(value, 3) for key, value in numbers.items()}
--- a/flamingosail/proxy/forwarding.py
+++ b/flamingosail/proxy/forwarding.py
@@ -5,6 +5,7 @@
 from flamingosail.proxy.job import Job
 from flamingosail.proxy.shared.routes import Route
 from flamingosail.proxy.shared.servers import RemoteServer
+from flamingosail.proxy.shared.tenants import Tenant
 from flamingosail.proxy.transport.hop import Outcome
 
 __all__ = ["Attempt", "ForwardedRequest"]
@@ -18,7 +19,8 @@
     (``Outcome.SHED``), and ``possible_runs`` counts those that may have run
     it. ``root_route``, ``rank`` and ``is_retry`` are sent in ``hop.Call``.
     ``parent`` is the request at our server that made this call, None for a
-    root request. ``failure_response`` is the last failure response of a
+    root request. ``tenant`` is the client account of the request, None if it
+    needs none. ``failure_response`` is the last failure response of a
     server: status, header lines and body.
     """
 
@@ -39,6 +41,7 @@
         "is_retry",
         "is_root",
         "parent",
+        "tenant",
         "failure_response",
     )
 
@@ -59,6 +62,7 @@
         self.is_retry = False
         self.is_root = False
         self.parent: Job | None = None
+        self.tenant: Tenant | None = None
         self.failure_response = None
 
 
--- a/flamingosail/proxy/shared/routes.py
+++ b/flamingosail/proxy/shared/routes.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from flamingosail.proxy.shared.tenants import TenantTable
+
 __all__ = [
     "ClientLimits",
     "Route",
@@ -27,6 +29,8 @@
 
     A request is answered within ``timeout_seconds``. ``priority`` 0 is the
     most important. At most ``max_attempts`` servers may run one request.
+    A ``public`` route needs no key of a client account. ``target_seconds`` is
+    the time within which clients want a response, None if it is not stated.
     """
 
     name: str
@@ -35,6 +39,8 @@
     timeout_seconds: float
     priority: int
     max_attempts: int
+    public: bool = False
+    target_seconds: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,13 +59,15 @@
 
     ``hosts`` maps a host to its routes by path prefix; each prefix begins and
     ends with a slash. ``health_paths`` holds the paths of the services' health
-    endpoints by service.
+    endpoints by service. ``tenants`` are the client accounts, None if requests
+    need no key.
     """
 
     version: int
     hosts: Mapping[bytes, Mapping[bytes, Route]]
     limits: ClientLimits
     health_paths: Mapping[str, str] = field(default_factory=dict)
+    tenants: TenantTable | None = None
 
     def find(self, host: bytes, target: bytes) -> Route | None:
         """Return the route with the longest prefix that matches the path."""
--- a/flamingosail/proxy/transport/client.py
+++ b/flamingosail/proxy/transport/client.py
@@ -42,6 +42,8 @@
 # take this many times the header limit; some headers are not counted there.
 MAX_HEADER_OVERHEAD = 4
 MAX_REQUEST_ID_BYTES = 256
+# No client account has a longer key.
+MAX_CREDENTIAL_BYTES = 4096
 
 log = Logger("proxy.client")
 
@@ -181,7 +183,18 @@
             ):
                 raise _Rejected(413, "the body is too large")
             return
-        elif lower in (dialect.expected_instance, dialect.caller_service):
+        elif lower == dialect.credential:
+            if exchange.credential is not None or (
+                len(value) > MAX_CREDENTIAL_BYTES
+            ):
+                value = b""
+            exchange.credential = value
+            return
+        elif lower in (
+            dialect.expected_instance,
+            dialect.caller_service,
+            dialect.tenant,
+        ):
             return
         self.header_bytes += len(name) + len(value) + 4
         limit = MAX_HEADER_OVERHEAD * self.handler.limits.max_header_bytes
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -205,6 +205,67 @@
                 parse_configuration(document)
 
 
+def configuration_with_tenants(*tenants: dict) -> bytes:
+    """Return the configuration with client accounts; route r-1 is public."""
+    document = json.loads(configuration_with(public=True))
+    return json.dumps({**document, "tenants": tenants}).encode()
+
+
+class TenantsTest(TestCase):
+    """A doubtful account must not open a door, nor close one by accident."""
+
+    def test_accounts_are_found_by_their_keys(self):
+        table = parse_configuration(
+            configuration_with_tenants(
+                {"name": "a", "apiKeys": ["k1", "k2"], "priority": 0},
+                {"name": "b", "apiKeys": ["k3"], "ratePerS": 4, "burst": 8},
+                {"name": "c", "apiKeys": []},
+            )
+        )
+        found = {key: table.tenants.find(key) for key in (b"k1", b"k2", b"k3")}
+        self.assertEqual("a", found[b"k1"].name)
+        self.assertIs(found[b"k1"], found[b"k2"])
+        self.assertEqual(0, found[b"k1"].priority)
+        self.assertEqual((4.0, 8.0), (found[b"k3"].rate, found[b"k3"].burst))
+        self.assertIsNone(found[b"k3"].priority)
+        self.assertIsNone(table.tenants.find(b"k4"))
+        self.assertIsNone(table.tenants.find(b""))
+
+    def test_routes_state_whether_they_are_public_and_their_aim(self):
+        table = parse_configuration(configuration_with_tenants())
+        public = table.find(b"a.example", b"/read/x")
+        self.assertTrue(public.public)
+        self.assertEqual(1.2, public.target_seconds)
+        self.assertFalse(table.find(b"a.example", b"/read/deep/x").public)
+
+    def test_without_accounts_no_key_is_needed(self):
+        self.assertIsNone(parse_configuration(configuration_with()).tenants)
+
+    def test_a_doubtful_account_makes_the_document_invalid(self):
+        good = {"name": "good", "apiKeys": ["secret"]}
+        for entry, place in (
+            ({"apiKeys": ["k"]}, "tenants[1] ('')"),
+            ({"name": ""}, "tenants[1] ('')"),
+            ({"name": "b\r\nX: y"}, "tenants[1] ('b"),
+            ({"name": "b "}, "tenants[1] ('b ')"),
+            ({"name": "b", "apiKeys": [""]}, "tenants[1] ('b')"),
+            ({"name": "b", "apiKeys": ["k", "k"]}, "tenant 'b'"),
+            ({"name": "b", "apiKeys": ["secret"]}, "tenants 'good' and 'b'"),
+            ({"name": "good"}, "tenant 'good'"),
+            ({"name": "b", "ratePerS": -1}, "tenants[1] ('b'): ratePerS"),
+            ({"name": "b", "burst": -1}, "tenants[1] ('b'): burst"),
+            ({"name": "b", "priority": -1}, "tenants[1] ('b'): priority"),
+            ({"name": "b", "apiKeys": "secret"}, "tenants"),
+        ):
+            error = self.assertRaises(
+                ValueError,
+                parse_configuration,
+                configuration_with_tenants(good, entry),
+            )
+            self.assertIn(place, str(error))
+            self.assertNotIn("secret", str(error))
+
+
 class FakeConnection:
     """Keeps the status of the response."""
 
