Check keys at the entry node, on a lease of fresh configuration

The key of a request was not known to the product, so that unknown and revoked keys ran. The entry node now answers 401 to a request that no account allows, and tells the server the name of the account; calls of the own backend server need no key. Where the settings bound the time to revoke a key, requests with keys are served only while the configuration is proved to have been the newest within that time: by a read of the store, or by a Pong of a node that has such a proof.

--- a/flamingosail/proxy/exchange.py
+++ b/flamingosail/proxy/exchange.py
@@ -30,7 +30,8 @@
     of a client account, None if the request has none, empty if it has more
     than one or an unusable one. ``timeout_ms`` is how
     long the client waits, None if not stated, and ``arrived_at`` the reactor's
-    time at which its header was complete.
+    time at which its header was complete. ``from_own_vm`` is false if the
+    client is on another VM.
     ``request`` belongs to the handler. ``done`` is set when the request has
     been answered or its client has disconnected.
     """
@@ -45,6 +46,7 @@
         "head",
         "body",
         "credential",
+        "from_own_vm",
         "timeout_ms",
         "keep_alive",
         "output",
@@ -61,6 +63,7 @@
         self.head: list[bytes] = []
         self.body = b""
         self.credential: bytes | None = None
+        self.from_own_vm = True
         self.timeout_ms = None
         self.keep_alive = True
         self.output = None
--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -15,6 +15,8 @@
 from flamingosail.proxy.gate import QUARANTINED
 from flamingosail.proxy.job import Job
 from flamingosail.proxy.nodemetrics import NodeMetrics
+from flamingosail.proxy.policy.access import AccessPolicy
+from flamingosail.proxy.policy.access import Denial
 from flamingosail.proxy.policy.balance import LoadBalancer
 from flamingosail.proxy.policy.budget import RetryBudget
 from flamingosail.proxy.policy.fingerprint import request_fingerprint
@@ -65,6 +67,16 @@
         " sent to another one, and repeating it does not help",
     }
 )
+# A response with status 401 names the scheme (RFC 9110, section 15.5.2).
+UNAUTHORIZED_HEAD = PROBLEM_HEAD + b"WWW-Authenticate: Key\r\n"
+UNAUTHORIZED_PROBLEM = encode(
+    {
+        "type": "urn:flamingosail:unauthorized",
+        "title": "Unknown or missing key",
+        "status": 401,
+        "detail": "the request needs the key of a client account",
+    }
+)
 
 
 class Forwarder:
@@ -87,6 +99,7 @@
         metrics: NodeMetrics,
         budget: RetryBudget,
         quarantine: Quarantine,
+        access: AccessPolicy,
         own_service: str,
     ):
         self.clock = clock
@@ -101,6 +114,7 @@
         self.priorities: dict[int, int] = {}
         self.request_id_header = b"%s: %%s\r\n" % dialect.request_id
         self.signature_header = b"%s: %%s\r\n" % dialect.signature
+        self.tenant_header = b"%s: %%s\r\n" % dialect.tenant
         self.caller_service_header = b"%s: %s\r\n" % (
             dialect.caller_service,
             own_service.encode("latin-1", "replace"),
@@ -110,6 +124,7 @@
         self.service_selector = WeightedRoundRobin()
         self.budget = budget
         self.quarantine = quarantine
+        self.access = access
         self.timeouts = Timeouts(clock=clock, on_due=self.timed_out)
         self.in_flight = 0
         self.closed = False
@@ -178,12 +193,25 @@
             )
             exchange.respond(404, b"")
             return
+        parent = self.parent_of(exchange)
+        access = self.access.check(
+            table,
+            route,
+            credential=exchange.credential,
+            is_call=parent is not None,
+            names_parent=b"." in exchange.request_id,
+        )
+        if access.denial is not None:
+            self.deny(exchange, route, access.denial)
+            return
         request = ForwardedRequest(
             exchange=exchange,
             route=route,
             service=self.service_selector.choose(route),
         )
         exchange.request = request
+        request.parent = parent
+        request.tenant = access.tenant
         wait = route.timeout_seconds
         if exchange.timeout_ms is not None:
             wait = min(wait, exchange.timeout_ms / 1000)
@@ -193,6 +221,8 @@
             exchange.target,
         )
         request.head = b"".join((*exchange.head, self.caller_service_header))
+        if request.tenant is not None:
+            request.head += self.tenant_header % request.tenant.name.encode()
         if self.is_quarantined(request):
             self.reject_quarantined(request)
             return
@@ -210,14 +240,13 @@
         id of a call consists of its parent request's id, a dot and a suffix.
         """
         exchange, route = request.exchange, request.route
-        parent = self.parent_of(exchange)
+        parent = request.parent
         if parent is not None:
             request.root_route = parent.root_route
             # Even ranks are calls; they precede root requests of the same
             # priority.
             request.rank = parent.rank & ~1
             request.is_retry = parent.is_retry
-            request.parent = parent
             if request.is_retry:
                 self.budget.charge(request.service)
             return True
@@ -250,11 +279,35 @@
         return admitted
 
     def parent_of(self, exchange: Exchange) -> Job | None:
-        """Return the request at our server that made this call, if any."""
+        """Return the request at our server that made this call, if any.
+
+        Where requests need keys, one from another VM is no such call.
+        """
+        if self.table.tenants is not None and not exchange.from_own_vm:
+            return None
         return self.peers.gate.running.get(
             exchange.request_id.rpartition(b".")[0]
         )
 
+    def deny(self, exchange: Exchange, route: Route, denial: Denial):
+        """Answer a request that its key does not allow, or may not allow."""
+        self.metrics.count("requests_denied", denial)
+        self.decisions.failure(
+            "denied",
+            lambda: {
+                "request": exchange.request_id.decode("latin-1"),
+                "route": route.name,
+                "reason": denial,
+                "config_version": self.table.version,
+            },
+        )
+        if denial.final:
+            exchange.respond(401, UNAUTHORIZED_HEAD, UNAUTHORIZED_PROBLEM)
+        else:
+            exchange.respond(
+                503, self.retry_after_header(route.timeout_seconds)
+            )
+
     def is_quarantined(self, request: ForwardedRequest) -> bool:
         """Return whether a request is known to crash servers."""
         if not self.quarantine.suspects:
@@ -275,7 +328,7 @@
         self.decisions.failure(
             "quarantined", lambda: self.request_fields(request, QUARANTINED)
         )
-        parent = self.parent_of(request.exchange)
+        parent = request.parent
         if parent is not None:
             parent.child_call_failed = True
         request.exchange.respond(502, PROBLEM_HEAD, QUARANTINED_PROBLEM)
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -11,6 +11,7 @@
 from flamingosail.proxy.forward import Forwarder
 from flamingosail.proxy.gate import Gate
 from flamingosail.proxy.nodemetrics import NodeMetrics
+from flamingosail.proxy.policy.access import AccessPolicy
 from flamingosail.proxy.policy.balance import LoadBalancer
 from flamingosail.proxy.policy.budget import RetryBudget
 from flamingosail.proxy.policy.overload import Admission
@@ -18,6 +19,7 @@
 from flamingosail.proxy.policy.overload import LoadReport
 from flamingosail.proxy.policy.quarantine import Quarantine
 from flamingosail.proxy.shared.configspread import ConfigSource
+from flamingosail.proxy.shared.freshness import Freshness
 from flamingosail.proxy.shared.routes import RouteTable
 from flamingosail.proxy.shared.servers import LocalServer
 from flamingosail.proxy.shared.serverstate import ServerState
@@ -58,7 +60,9 @@
     and the process is killed ``stop_seconds`` after SIGTERM. ``retry_ratio``
     and ``retry_minimum`` are those of ``RetryBudget``. ``memory_bytes`` is the
     memory that the process may use. ``first_start`` is false if a former
-    process may have known the backend server.
+    process may have known the backend server. No request with a key is
+    accepted ``revocation_seconds`` after a configuration has taken that key
+    away, None if there is no such bound.
     """
 
     name: str
@@ -74,6 +78,7 @@
     retry_minimum: float
     memory_bytes: int
     first_start: bool = True
+    revocation_seconds: float | None = None
 
 
 class ProxyNode:
@@ -81,7 +86,8 @@
 
     ``parse_config`` turns a configuration document into a RouteTable and
     raises ValueError if the document is invalid. ``document`` is the
-    configuration in force.
+    configuration in force. ``lease_seconds`` is the clock of ``Freshness``,
+    the reactor's if None.
     """
 
     def __init__(
@@ -92,6 +98,7 @@
         config: NodeConfig,
         dialect: Dialect,
         parse_config: Callable[[bytes], RouteTable],
+        lease_seconds: Callable[[], float] | None = None,
     ):
         self.reactor = reactor
         self.config = config
@@ -139,6 +146,11 @@
                 on_confirmed=self.gate.server.report_confirmed,
                 on_leaving=self.gate.server.accept_leaving,
             )
+        self.freshness = Freshness(
+            seconds=lease_seconds or reactor.seconds,
+            config_version=self.config_version,
+            revocation_seconds=config.revocation_seconds,
+        )
         self.local = LocalServer(
             gate=self.gate, failure_domain=config.failure_domain
         )
@@ -157,6 +169,7 @@
             config_version=self.config_version,
             config_document=lambda: self.document,
             on_config=self.apply_config,
+            freshness=self.freshness,
         )
         self.forwarder = Forwarder(
             clock=reactor,
@@ -177,6 +190,10 @@
                 minimum=config.retry_minimum,
             ),
             quarantine=self.quarantine,
+            access=AccessPolicy(
+                freshness=self.freshness,
+                behind_seconds=self.peers.spread.behind_seconds,
+            ),
             own_service=config.service,
         )
         self.clients = ClientListener(
@@ -206,6 +223,13 @@
             config_version=self.config_version,
             config_version_known=self.known_config_version,
             config_behind_seconds=self.peers.spread.behind_seconds,
+            # -1 without a proof, or if no lease is needed.
+            config_proof_age_seconds=lambda: (
+                self.freshness.age_seconds()
+                if self.freshness.age_ms() is not None
+                else -1
+            ),
+            config_lease=lambda: int(self.freshness.is_current()),
             store_era=lambda: self.peers.store_era.number,
             suspects=lambda: len(self.quarantine.suspects),
             store_reader=lambda: int(self.peers.was_store_reader),
@@ -314,11 +338,19 @@
         )
         self.route_table = route_table
         self.document = document
+        self.freshness.config_changed()
         self.forwarder.set_route_table(route_table)
         if self.gate.server.check is not None:
             self.gate.server.check.ask()
         self.peers.spread.announce(source)
 
+    def configuration_current(self, read_at: float):
+        """Record that a read of the store showed no newer configuration.
+
+        ``read_at`` is when the read was sent, in the time of ``Freshness``.
+        """
+        self.freshness.observe(self.config_version(), read_at)
+
     # Start and stop.
 
     @property
--- a/flamingosail/proxy/transport/client.py
+++ b/flamingosail/proxy/transport/client.py
@@ -44,6 +44,7 @@
 MAX_REQUEST_ID_BYTES = 256
 # No client account has a longer key.
 MAX_CREDENTIAL_BYTES = 4096
+LOOPBACK_PREFIX = "127."
 
 log = Logger("proxy.client")
 
@@ -61,7 +62,8 @@
 
     ``pending`` holds the unanswered requests in order, ``completed`` those
     parsed but not yet given to the handler, and ``exchange`` the request that
-    is being received. Once ``closing``, input is ignored.
+    is being received. Once ``closing``, input is ignored. ``from_own_vm`` is
+    false if the client is on another VM.
     """
 
     def __init__(self, *, listener: "ClientListener"):
@@ -79,6 +81,7 @@
         self.last_used = 0.0
         self.closing = False
         self.reading = True
+        self.from_own_vm = False
         self.completed: list[Exchange] = []
 
     # Called by twisted.
@@ -87,6 +90,10 @@
         """Disable Nagle's algorithm and register with the listener."""
         disable_nagle(self.transport)
         self.last_used = self.listener.clock.seconds()
+        client = self.transport.getPeer().host
+        self.from_own_vm = client == self.transport.getHost().host or (
+            client.startswith(LOOPBACK_PREFIX)
+        )
         self.listener.connections.add(self)
 
     def dataReceived(self, data):  # noqa: N802 - named by twisted
@@ -143,6 +150,7 @@
         """Start a new request."""
         exchange = self.exchange = Exchange(connection=self)
         exchange.arrived_at = None
+        exchange.from_own_vm = self.from_own_vm
         self.header_bytes = 0
         self.bodiless_bytes = 0
         self.header_started_at = self.listener.clock.seconds()
--- a/flamingosail/proxy/transport/hop.py
+++ b/flamingosail/proxy/transport/hop.py
@@ -202,8 +202,10 @@
 
     ``reaches_store`` is false if the sender's last call to the metadata store
     failed. ``slowness_percent`` is how long its server takes for a request,
-    compared with the mean of its service, the fields from ``store_era`` on
-    are those of ``Ping``.
+    compared with the mean of its service, the fields from ``store_era`` to
+    ``evidence`` are those of ``Ping``. ``config_age_ms`` is how long ago its
+    configuration was proved to be the newest, None without a proof
+    (``proxy.shared.freshness``).
     """
 
     running: int
@@ -215,6 +217,7 @@
     store_era: int = 0
     evidence_digest: int = 0
     evidence: Evidence | None = None
+    config_age_ms: int | None = None
 
 
 class Hello(Struct, tag=7, array_like=True, gc=False):
--- a/flamingosail/proxy/transport/hopconnection.py
+++ b/flamingosail/proxy/transport/hopconnection.py
@@ -1,5 +1,7 @@
 """Protocols for the two ends of a connection between nodes."""
 
+from collections import deque
+
 from logbook import Logger
 from msgspec.structs import replace
 from twisted.internet.protocol import Protocol
@@ -174,6 +176,7 @@
                     self.table.store_era.number,
                     self.table.quarantine.digest,
                     self.unsent_evidence(),
+                    self.table.freshness.age_ms(),
                 )
             )
             self.table.store_era.observe(message.store_era, source="peer")
@@ -248,7 +251,9 @@
     """A connection that this node dialled to send calls to a Peer.
 
     ``pending`` holds the attempts that have not ended, by stream.
-    ``unanswered_since`` is the time of the first ping since data arrived.
+    ``unanswered_since`` is the time of the first ping since data arrived,
+    ``pinged_at`` has the times of the pings without a Pong, in the time of
+    ``Freshness``.
     """
 
     def __init__(self, *, peer):
@@ -258,6 +263,7 @@
         self.pending: dict = {}
         self.last_ping_at = 0.0
         self.unanswered_since: float | None = None
+        self.pinged_at: deque[float] = deque()
 
     @property
     def near(self) -> bool:
@@ -318,6 +324,13 @@
             peer.slowness = message.slowness_percent / 100
             self.table.store_era.observe(message.store_era, source="peer")
             self.table.spread.observe(message.config_version, self)
+            # Each Ping is answered by one Pong, in order.
+            if self.pinged_at:
+                self.table.freshness.observe_age(
+                    message.config_version,
+                    message.config_age_ms,
+                    self.pinged_at.popleft(),
+                )
         elif kind is Status:
             peer.handle_status(message)
             self.table.spread.observe(message.config_version, self)
@@ -372,6 +385,7 @@
         self.last_ping_at = now
         if self.unanswered_since is None:
             self.unanswered_since = now
+        self.pinged_at.append(self.table.freshness.seconds())
         report = self.table.own_report if self.peer.near else None
         self.send(
             Ping(
--- a/flamingosail/proxy/transport/peers.py
+++ b/flamingosail/proxy/transport/peers.py
@@ -20,6 +20,7 @@
 from flamingosail.proxy.policy.readers import ReaderCandidate
 from flamingosail.proxy.shared.configspread import ConfigSource
 from flamingosail.proxy.shared.configspread import ConfigSpread
+from flamingosail.proxy.shared.freshness import Freshness
 from flamingosail.proxy.shared.loadreports import aggregate_by_service
 from flamingosail.proxy.shared.loadreports import AGGREGATE_INTERVAL_SECONDS
 from flamingosail.proxy.shared.loadreports import LoadReports
@@ -60,7 +61,8 @@
     ``inbound`` holds the accepted connections, ``by_service`` the servers that
     are not absent, ``spread`` the exchange of configurations.
     ``reaches_store`` is false if this node's last call to the metadata store
-    failed, ``store_era`` is the era of that store. Near peers are in the
+    failed, ``store_era`` is the era of that store, ``freshness`` the lease on
+    the configuration. Near peers are in the
     failure domain of this node, far peers in others.
     """
 
@@ -81,6 +83,7 @@
         config_version: Callable,
         config_document: Callable,
         on_config: Callable,
+        freshness: Freshness | None = None,
     ):
         self.reactor = reactor
         self.clock = reactor
@@ -105,6 +108,9 @@
             peers=lambda: self.peers.values(),
             connections=self.connections,
         )
+        self.freshness = freshness or Freshness(
+            seconds=reactor.seconds, config_version=config_version
+        )
         self.reaches_store = True
         self.store_era = StoreEra()
         self.was_store_reader = False
@@ -139,6 +145,7 @@
         """Ping or dial each peer and exchange load reports."""
         now = self.clock.seconds()
         self.quarantine.expire()
+        self.freshness.log_changes()
         self.own_report = self.load_report()
         self.local.refresh()
         for peer in list(self.peers.values()):
--- a/flamingosail/reactorclock.py
+++ b/flamingosail/reactorclock.py
@@ -1,8 +1,18 @@
-"""Monotonic time for the reactor."""
+"""Clocks of the process: monotonic time, and time since the VM's boot."""
 
+from time import CLOCK_BOOTTIME
+from time import clock_gettime
 from time import monotonic
 
-__all__ = ["use_monotonic_time"]
+__all__ = ["boot_seconds", "use_monotonic_time"]
+
+
+def boot_seconds() -> float:
+    """Return the seconds since boot, with those of suspensions.
+
+    Monotonic time stands still while the VM is suspended.
+    """
+    return clock_gettime(CLOCK_BOOTTIME)
 
 
 def use_monotonic_time(reactor):
--- a/tests/test_proxy_forward.py
+++ b/tests/test_proxy_forward.py
@@ -10,6 +10,7 @@
 from flamingosail.proxy.forward import Forwarder
 from flamingosail.proxy.gate import CHILD_CALL_FAILED
 from flamingosail.proxy.nodemetrics import NodeMetrics
+from flamingosail.proxy.policy.access import AccessPolicy
 from flamingosail.proxy.policy.balance import LoadBalancer
 from flamingosail.proxy.policy.balance import ServerGroup
 from flamingosail.proxy.policy.budget import RetryBudget
@@ -17,6 +18,7 @@
 from flamingosail.proxy.policy.overload import Admission
 from flamingosail.proxy.policy.overload import LoadMeter
 from flamingosail.proxy.policy.overload import route_key
+from flamingosail.proxy.shared.freshness import Freshness
 from flamingosail.proxy.shared.routes import ClientLimits
 from flamingosail.proxy.shared.routes import RouteTable
 from flamingosail.proxy.shared.routes import WeightedService
@@ -92,6 +94,12 @@
                 )
             },
         )
+        self.behind = 0.0
+        self.freshness = Freshness(
+            seconds=self.clock.seconds,
+            config_version=lambda: self.forwarder.table.version,
+            revocation_seconds=5.0,
+        )
         random = Random(1)
         self.forwarder = Forwarder(
             clock=self.clock,
@@ -106,6 +114,9 @@
             metrics=NodeMetrics(),
             budget=RetryBudget(clock=self.clock, ratio=0.1, minimum=5.0),
             quarantine=self.peers.gate.quarantine,
+            access=AccessPolicy(
+                freshness=self.freshness, behind_seconds=lambda: self.behind
+            ),
             own_service="front",
         )
         self.routes = {
