Renew the lease from other nodes; test keys and lease

A failure domain whose nodes the store all turns away had proofs of up to 2.2 s in tests/test_proxy_freshness.py (12 nodes): regular pings go to all peers in the same tick. A node whose proof is older than 0.3 of its lease now pings a near and a far peer in each tick: 1.84 s, where 1.9 s is the bound.

--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -201,6 +201,7 @@
             is_call=parent is not None,
             names_parent=b"." in exchange.request_id,
         )
+        exchange.credential = None
         if access.denial is not None:
             self.deny(exchange, route, access.denial)
             return
--- a/flamingosail/proxy/shared/freshness.py
+++ b/flamingosail/proxy/shared/freshness.py
@@ -22,6 +22,8 @@
 # Part of the time to revoke a key that is left to differences between the
 # rates of the VMs' clocks.
 MARGIN_FRACTION = 0.02
+# A proof older than this share of the lease is renewed from other nodes.
+RENEWAL_SHARE = 0.3
 
 log = Logger("proxy.freshness")
 
@@ -102,6 +104,12 @@
         """Return whether the lease allows requests with keys now."""
         return not self.required or self.age_seconds() < self.lease_seconds
 
+    def needs_renewal(self) -> bool:
+        """Return whether other nodes should be asked for a proof now."""
+        return self.required and (
+            self.age_seconds() > self.lease_seconds * RENEWAL_SHARE
+        )
+
     def log_changes(self):
         """Log when the lease was lost or obtained."""
         current = self.is_current()
--- a/flamingosail/proxy/transport/peers.py
+++ b/flamingosail/proxy/transport/peers.py
@@ -87,6 +87,7 @@
     ):
         self.reactor = reactor
         self.clock = reactor
+        self.random = random
         self.gate = gate
         self.quarantine = gate.quarantine
         self.local = local
@@ -145,7 +146,7 @@
         """Ping or dial each peer and exchange load reports."""
         now = self.clock.seconds()
         self.quarantine.expire()
-        self.freshness.log_changes()
+        self.renew_lease()
         self.own_report = self.load_report()
         self.local.refresh()
         for peer in list(self.peers.values()):
@@ -158,6 +159,25 @@
             self.last_aggregate_at = now
             self.send_aggregate()
 
+    def renew_lease(self):
+        """Ping a near and a far peer if this node's proof is getting old.
+
+        The regular pings go to all peers in the same tick, and to far peers
+        some seconds apart.
+        """
+        self.freshness.log_changes()
+        if not self.freshness.needs_renewal():
+            return
+        now = self.clock.seconds()
+        for near in (True, False):
+            peers = [
+                peer
+                for peer in self.peers.values()
+                if peer.near is near and peer.usable
+            ]
+            if peers:
+                self.random.choice(peers).connection.ping(now)
+
     def is_aggregator(self) -> bool:
         """Return whether this node sends the aggregate of its failure domain.
 
--- a/tests/proxyfakes.py
+++ b/tests/proxyfakes.py
@@ -1,6 +1,7 @@
 """Test doubles for the proxy: headers, transport, gate, reports, jobs."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
 
@@ -171,26 +172,34 @@
 
 
 def make_node(
-    clock: MemoryReactorClock, parse_config: Callable[[bytes], RouteTable]
+    clock: MemoryReactorClock,
+    parse_config: Callable[[bytes], RouteTable],
+    **config_changes,
 ) -> ProxyNode:
-    """Return a node in the failure domain fd-a that has not been started."""
+    """Return a node in the failure domain fd-a that has not been started.
+
+    The other arguments replace fields of its NodeConfig.
+    """
     address = Address("10.0.0.5", 80)
     return ProxyNode(
         reactor=clock,
         random=Random(1),
-        config=NodeConfig(
-            name="n",
-            failure_domain="fd-a",
-            service="histbook",
-            clients=address,
-            peers=address,
-            advertised=address,
-            server=address,
-            drain_seconds=2.0,
-            retry_ratio=0.2,
-            memory_bytes=200_000_000,
-            retry_minimum=47,
-            stop_seconds=6.0,
+        config=replace(
+            NodeConfig(
+                name="n",
+                failure_domain="fd-a",
+                service="histbook",
+                clients=address,
+                peers=address,
+                advertised=address,
+                server=address,
+                drain_seconds=2.0,
+                retry_ratio=0.2,
+                memory_bytes=200_000_000,
+                retry_minimum=47,
+                stop_seconds=6.0,
+            ),
+            **config_changes,
         ),
         dialect=DIALECT,
         parse_config=parse_config,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -136,6 +136,22 @@
         settings = parse_platform_settings(text)
         self.assertEqual(2.5, settings.config_apply_seconds)
 
+    def test_the_time_to_revoke_a_key_binds_only_where_it_is_strict(self):
+        """Guards against a node that goes on with old keys, or need not."""
+        for bounds, expected in (
+            ("", None),
+            (",revokeS=5", None),
+            (",revokeS=5,strictRevoke=false", None),
+            (",revokeS=5,strictRevoke=true", 5.0),
+        ):
+            text = SETTINGS.replace("Retries=47", "Retries=47" + bounds)
+            settings = parse_platform_settings(text)
+            self.assertEqual(expected, settings.revocation_seconds)
+        for bounds in (",strictRevoke=true", ",strictRevoke=true,revokeS=0"):
+            text = SETTINGS.replace("Retries=47", "Retries=47" + bounds)
+            with ExpectedException(ExceptionGroup):
+                parse_platform_settings(text)
+
     def test_all_invalid_settings_are_reported(self):
         text = SETTINGS.replace("appAddr=10.1.0.8:8301", "appAddr=here")
         text = text.replace("drainS=2", "drainS=-2").replace("node=", "n=")
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,6 +2,7 @@
 
 import base64
 from random import Random
+from types import SimpleNamespace
 
 from flamingosail_platform.store import decode_records
 from flamingosail_platform.store import encode_record
@@ -169,6 +170,66 @@
         waits = self.held_reads(seconds=20.0, apply_seconds=APPLY_SECONDS)
         self.assertLessEqual(max(waits), 0.75 * APPLY_SECONDS)
 
+    def test_a_proof_is_as_old_as_the_sending_of_its_read(self):
+        """Guards against a lease renewed by a read that the store held."""
+        read_at, proved_at = [], []
+
+        def hold(topic, position, wait_seconds):
+            read_at.append(self.clock.seconds())
+            return deferLater(
+                self.clock,
+                wait_seconds,
+                lambda: ([], Position(era=0, offset=0, at_end=True)),
+            )
+
+        self.store.read = hold
+        ConfigWatch(
+            on_document=self.received.append,
+            apply_seconds=APPLY_SECONDS,
+            revocation_seconds=5.0,
+            on_current=proved_at.append,
+            **self.watch_options,
+        ).run()
+        self.clock.pump([0.05] * 100)
+        self.assertGreater(len(proved_at), 3)
+        self.assertEqual(read_at[: len(proved_at)], proved_at)
+
+    def test_records_that_were_not_handled_are_no_proof(self):
+        """Guards against a lease while newer records wait in the store."""
+        proved_at = []
+        watch = self.config_watch()
+        watch.on_current = proved_at.append
+        watch.run()
+        self.publish(b"1")
+        self.clock.pump([0.5] * 4)
+        # FakeStore never says that there are no further records.
+        self.assertEqual([b"1"], self.received)
+        self.assertEqual([], proved_at)
+        watch.on_document = None
+        self.publish(b"2")
+        self.store.end = lambda: Position(era=0, offset=2, at_end=True)
+        self.clock.pump([0.5])
+        self.assertEqual([], proved_at)
+
+    def test_a_read_that_stops_short_of_the_end_says_so(self):
+        """Guards against a lease on the first part of many records."""
+        record = encode_record(Record(key="config", value=b"1"))
+        positions = []
+        for end, size in ((1, 16), (2, 16), (1, 4)):
+            client = StoreClient(
+                reactor=self.clock,
+                address=Address("10.0.0.9", 80),
+                era=StoreEra(),
+            )
+            head = end.to_bytes(8, "big") + bytes(8)
+            body = (head + record)[: None if size == 16 else size]
+            response = SimpleNamespace(status=200, headers=[], body=body)
+            client.exchange = lambda *args, r=response: succeed(r)
+            client.read("t", Position(era=0, offset=0), 0.0).addCallback(
+                lambda result: positions.append(result[1].at_end)
+            )
+        self.assertEqual([True, False, False], positions)
+
     def test_readers_do_not_all_poll_at_the_same_time(self):
         """Guards against many readers that see no more than one would."""
         waits = self.held_reads(seconds=20.0, apply_seconds=APPLY_SECONDS)
