Ask for the calls of a connection between nodes that fell silent

Cause: the calls of a connection whose bytes vanish were all taken to have run when it was closed 2 s later, and answered 502 or 504, although most had not reached a server.

Change: a node that hears nothing while its calls are pending probes the other one, dials it again and asks there what became of the calls. The other node reads nothing further from the former connection, so that a call which has not arrived never runs; running calls and unconfirmed replies go on at the new connection. The same holds for a connection that closed.

--- a/flamingosail/proxy/transport/hop.py
+++ b/flamingosail/proxy/transport/hop.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "Call",
+    "CallsResumed",
     "Cancel",
     "Clearance",
     "ConfigCopy",
@@ -32,7 +33,10 @@
     "Outcome",
     "Ping",
     "Pong",
+    "Probe",
+    "ProbeReply",
     "Reply",
+    "ResumeCalls",
     "ServerTerms",
     "Status",
     "encode_frame",
@@ -150,7 +154,8 @@
     ``report`` is None between failure domains. ``store_era`` is the newest era
     of the metadata store that the sender knows of. ``evidence_digest`` is
     equal at nodes with the same evidence; ``evidence`` is None if the receiver
-    is not known to lack a part of it.
+    is not known to lack a part of it. ``replies_received`` counts the replies
+    that the sender has received on this connection.
     """
 
     config_version: int
@@ -158,6 +163,7 @@
     store_era: int = 0
     evidence_digest: int = 0
     evidence: Evidence | None = None
+    replies_received: int = 0
 
 
 class ServerTerms(Struct, array_like=True, gc=False):
@@ -222,7 +228,8 @@
 
     ``terms`` are those that the receiver last announced for its own server,
     None if it announced none: the receiver may have restarted since.
-    ``evidence`` is None if the sender has none.
+    ``evidence`` is None if the sender has none. ``token`` names the connection
+    in ``ResumeCalls``; it is 0 if the receiver dialled it.
     """
 
     node: str
@@ -230,6 +237,7 @@
     address: str
     terms: ServerTerms | None = None
     evidence: Evidence | None = None
+    token: int = 0
 
 
 class ConfigPull(Struct, tag=8, array_like=True, gc=False):
@@ -254,6 +262,39 @@
     reports: list[LoadReport]
 
 
+class Probe(Struct, tag=16, array_like=True, gc=False):
+    """Requests a ProbeReply; ``replies_received`` is that of ``Ping``."""
+
+    replies_received: int
+
+
+class ProbeReply(Struct, tag=17, array_like=True, gc=False):
+    """Says that a Probe has arrived."""
+
+
+class ResumeCalls(Struct, tag=18, array_like=True, gc=False):
+    """Asks what became of the calls of a former connection.
+
+    ``token`` is that of its Hello, ``streams`` are those of the calls. Calls
+    on it that the receiver has not read yet must never run.
+    """
+
+    token: int
+    streams: list[int]
+
+
+class CallsResumed(Struct, tag=19, array_like=True, gc=False):
+    """Reply to a ResumeCalls.
+
+    The calls ``resumed`` get their replies on this connection, those in
+    ``absent`` have not arrived and never run. The others may have run.
+    """
+
+    token: int
+    resumed: list[int]
+    absent: list[int]
+
+
 Message = Union[  # noqa: UP007 - msgspec needs the runtime type
     Call,
     Reply,
@@ -265,6 +306,10 @@
     ConfigPull,
     ConfigCopy,
     DomainLoad,
+    Probe,
+    ProbeReply,
+    ResumeCalls,
+    CallsResumed,
 ]
 _encoder = Encoder()
 _decoder = Decoder(Message)
--- a/flamingosail/proxy/transport/hopconnection.py
+++ b/flamingosail/proxy/transport/hopconnection.py
@@ -6,7 +6,12 @@
 
 from flamingosail.errors import CodecError
 from flamingosail.proxy.job import Job
+from flamingosail.proxy.transport.callrecovery import FORGET_SECONDS
+from flamingosail.proxy.transport.callrecovery import ReplyFields
+from flamingosail.proxy.transport.callrecovery import SilenceDetector
+from flamingosail.proxy.transport.callrecovery import UnconfirmedReplies
 from flamingosail.proxy.transport.hop import Call
+from flamingosail.proxy.transport.hop import CallsResumed
 from flamingosail.proxy.transport.hop import Cancel
 from flamingosail.proxy.transport.hop import ConfigCopy
 from flamingosail.proxy.transport.hop import ConfigPull
@@ -16,10 +21,12 @@
 from flamingosail.proxy.transport.hop import FrameBuffer
 from flamingosail.proxy.transport.hop import HeaderTable
 from flamingosail.proxy.transport.hop import Hello
-from flamingosail.proxy.transport.hop import Outcome
 from flamingosail.proxy.transport.hop import Ping
 from flamingosail.proxy.transport.hop import Pong
+from flamingosail.proxy.transport.hop import Probe
+from flamingosail.proxy.transport.hop import ProbeReply
 from flamingosail.proxy.transport.hop import Reply
+from flamingosail.proxy.transport.hop import ResumeCalls
 from flamingosail.proxy.transport.hop import Status
 from flamingosail.sockets import detect_dead_peer
 from flamingosail.sockets import disable_nagle
@@ -37,6 +44,10 @@
 # Evidence of crashes is sent again after this time to a node that has got it
 # and still differs: times of facts may have been shifted on their way.
 RESEND_EVIDENCE_SECONDS = 30.0
+TOKEN_BITS = 62
+# The calls of a connection that ended are cancelled after this time, in which
+# the other node may resume them on another one.
+CANCEL_SECONDS = 0.25
 
 log = Logger("proxy.peers")
 
@@ -124,13 +135,20 @@
 class InboundConnection(HopProtocol):
     """A connection that another node dialled to call the local server.
 
-    ``jobs`` holds the calls that have not ended, by stream.
+    ``jobs`` holds the calls that have not ended, by stream, ``replies`` those
+    that may not have arrived. ``highest_stream`` is that of the last call;
+    streams increase. ``token`` names the connection in ``hop.ResumeCalls``.
+    Once ``replaced`` by another connection, nothing further is read.
     """
 
     def __init__(self, *, table):
         super().__init__(table=table)
         self.jobs: dict[int, Job] = {}
         self.failure_domain = ""
+        self.token = 0
+        self.highest_stream = 0
+        self.replies = UnconfirmedReplies()
+        self.replaced = False
 
     @property
     def near(self) -> bool:
@@ -144,23 +162,49 @@
         self.send(self.table.status())
 
     def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
-        """Cancel the calls of the other node."""
+        """Cancel the calls of the other node if it does not resume them."""
         self.open = False
         self.table.inbound.discard(self)
+        clock = self.table.clock
+        if self.jobs:
+            clock.callLater(CANCEL_SECONDS, self.cancel_jobs)
+        if self.token:
+            clock.callLater(FORGET_SECONDS, self.forget)
+
+    def forget(self):
+        """Drop what was kept for a node that asks about its calls."""
+        if self.table.inbound_by_token.get(self.token) is self:
+            del self.table.inbound_by_token[self.token]
+
+    def cancel_jobs(self):
+        """Cancel the calls that have not been resumed elsewhere."""
         jobs, self.jobs = self.jobs, {}
         for job in jobs.values():
             self.table.gate.cancel(job)
 
+    def dataReceived(self, data):  # noqa: N802 - named by twisted
+        """Handle the messages that are complete."""
+        if not self.replaced:
+            super().dataReceived(data)
+
     def handle_message(self, message):
         """Handle one message."""
         kind = type(message)
+        if self.replaced:
+            return
         if kind is Call:
             self.handle_call(message)
         elif kind is Cancel:
             job = self.jobs.pop(message.stream, None)
             if job is not None:
                 self.table.gate.cancel(job)
+        elif kind is Probe:
+            self.replies.confirm(message.replies_received)
+            self.send(ProbeReply())
+        elif kind is ResumeCalls:
+            self.resume_calls(message)
         elif kind is Ping:
+            self.replies.confirm(message.replies_received)
             self.handle_evidence(message)
             gate = self.table.gate
             self.send(
@@ -189,6 +233,9 @@
         elif kind is Hello:
             self.peer_address = message.address
             self.failure_domain = message.failure_domain
+            self.token = message.token
+            if message.token:
+                self.table.inbound_by_token[message.token] = self
             if message.terms is not None:
                 self.table.gate.server.recall(message.terms)
             if message.evidence is not None:
@@ -216,27 +263,77 @@
             stream=call.stream,
         )
         self.jobs[call.stream] = job
+        self.highest_stream = call.stream
         self.table.gate.submit(job)
 
+    def resume_calls(self, message: ResumeCalls):
+        """Take over the calls of a connection that is silent or closed.
+
+        What has not been read from it is not read any more, so that a call
+        that has not arrived never will.
+        """
+        former = self.table.inbound_by_token.pop(message.token, None)
+        if former is None or former is self:
+            self.send(CallsResumed(message.token, [], []))
+            return
+        former.replaced = True
+        replies = former.replies.by_stream()
+        resumed, absent, unsent = [], [], []
+        for stream in message.streams:
+            job = former.jobs.pop(stream, None)
+            if job is not None:
+                job.on_end = self.send_reply
+                self.jobs[stream] = job
+                resumed.append(stream)
+            elif stream in replies:
+                resumed.append(stream)
+                unsent.append(stream)
+            elif stream > former.highest_stream:
+                absent.append(stream)
+        if resumed:
+            self.highest_stream = max(self.highest_stream, *resumed)
+        log.info(
+            "calls resumed",
+            extra={
+                "peer": self.peer_address,
+                "running": len(resumed) - len(unsent),
+                "answered": len(unsent),
+                "absent": len(absent),
+                "unknown": len(message.streams) - len(resumed) - len(absent),
+            },
+        )
+        self.send(CallsResumed(message.token, resumed, absent))
+        for stream in unsent:
+            self.send_fields(stream, replies[stream])
+        former.cancel_jobs()
+        if former.open:
+            former.transport.abortConnection()
+
     def send_reply(
         self, job: Job, outcome, status, signature, head, body, reason
     ):
         """Send the result of a call, unless the connection is closed."""
         self.jobs.pop(job.stream, None)
+        fields = ReplyFields(outcome, status, signature, head, body, reason)
+        self.send_fields(job.stream, fields)
+
+    def send_fields(self, stream: int, fields: ReplyFields):
+        """Send the result of a call and keep it until it is confirmed."""
+        self.replies.add(stream, fields)
         if not self.open:
             return
-        head_index, head = self.sent_headers.pack(head)
+        head_index, head = self.sent_headers.pack(fields.head)
         gate = self.table.gate
         self.send(
             Reply(
-                job.stream,
-                outcome,
-                status,
-                signature,
+                stream,
+                fields.outcome,
+                fields.status,
+                fields.signature,
                 head_index,
                 head,
-                body,
-                reason,
+                fields.body,
+                fields.reason,
                 len(gate.running),
                 gate.waiting,
                 gate.capacity,
@@ -249,6 +346,9 @@
 
     ``pending`` holds the attempts that have not ended, by stream.
     ``unanswered_since`` is the time of the first ping since data arrived.
+    ``token`` names the connection to the other node, ``replies_received``
+    counts its replies. ``suspected`` is set while the connection is taken to
+    be silent; its calls are then resumed on another one.
     """
 
     def __init__(self, *, peer):
@@ -258,6 +358,10 @@
         self.pending: dict = {}
         self.last_ping_at = 0.0
         self.unanswered_since: float | None = None
+        self.token = self.table.random.getrandbits(TOKEN_BITS)
+        self.replies_received = 0
+        self.silence = SilenceDetector()
+        self.suspected = False
 
     @property
     def near(self) -> bool:
@@ -265,28 +369,33 @@
         return self.peer.near
 
     def connectionMade(self):  # noqa: N802 - named by twisted
-        """Make the connection available to the peer's calls."""
+        """Ask for calls in doubt, then make the connection available.
+
+        If a silent connection is being replaced, the new one has to prove
+        first that the other node reads it.
+        """
         super().connectionMade()
-        self.peer.connected(self)
+        for token, streams in self.peer.recovering.tokens_and_streams():
+            self.send(ResumeCalls(token, streams))
+        self.peer.dialled(self)
 
     def hello(self) -> Hello:
         """Return the first message; it precedes all calls."""
-        return replace(super().hello(), terms=self.peer.remembered_terms())
+        return replace(
+            super().hello(),
+            terms=self.peer.remembered_terms(),
+            token=self.token,
+        )
 
     def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
-        """End the pending calls; they may have run."""
+        """Ask the other node for the pending calls on a new connection."""
         self.open = False
-        pending, self.pending = self.pending, {}
         self.peer.disconnected(self)
-        for attempt in pending.values():
-            attempt.ended(
-                Outcome.LOST,
-                0,
-                b"",
-                b"",
-                b"",
-                "the connection to the node ended",
-            )
+
+    def abort(self):
+        """Close the connection at once."""
+        if self.open:
+            self.transport.abortConnection()
 
     def handle_message(self, message):
         """Handle one message."""
@@ -299,6 +408,7 @@
             head = self.received_headers.unpack(
                 message.head_index, message.head
             )
+            self.replies_received += 1
             attempt = self.pending.pop(message.stream, None)
             if attempt is not None:
                 attempt.ended(
@@ -321,8 +431,11 @@
         elif kind is Status:
             peer.handle_status(message)
             self.table.spread.observe(message.config_version, self)
+        elif kind is CallsResumed:
+            peer.recovering.settle(message, self)
         elif kind is Hello:
             peer.handle_hello(message)
+            peer.connected(self)
             if message.evidence is not None:
                 self.table.quarantine.merge(message.evidence)
         elif kind is ConfigPull:
@@ -333,6 +446,18 @@
     def mark_alive(self):
         """Record that the peer is alive."""
         self.unanswered_since = None
+        self.silence.data_arrived(
+            self.table.clock.seconds(), pending=bool(self.pending)
+        )
+
+    def check_silence(self, now: float):
+        """Probe a peer that is not heard while its calls are pending."""
+        if self.suspected or not self.pending:
+            return
+        if self.silence.is_silent(now):
+            self.peer.suspect(self, now)
+        elif self.silence.is_probe_due(now):
+            self.send(Probe(self.replies_received))
 
     def call(self, stream: int, fields: dict):
         """Send a call, preceded by a ping if one is due.
@@ -344,6 +469,7 @@
         now = peer.last_call_at = self.table.clock.seconds()
         if now - self.last_ping_at >= peer.busy_ping_seconds:
             self.ping(now)
+        self.silence.call_sent(now)
         head_index, fields["head"] = self.sent_headers.pack(fields["head"])
         self.send(Call(**fields, stream=stream, head_index=head_index))
 
@@ -380,5 +506,6 @@
                 self.table.store_era.number,
                 self.table.quarantine.digest,
                 news or self.unsent_evidence(),
+                self.replies_received,
             )
         )
--- a/flamingosail/proxy/transport/peer.py
+++ b/flamingosail/proxy/transport/peer.py
@@ -4,12 +4,14 @@
 
 from logbook import Logger
 from msgspec.structs import replace
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import ClientFactory
 
 from flamingosail.proxy.policy.overload import LoadReport
 from flamingosail.proxy.policy.overload import USAGE_SCALE
 from flamingosail.proxy.shared.servers import drain_deadline
 from flamingosail.proxy.shared.servers import RemoteServer
+from flamingosail.proxy.transport.callrecovery import RecoveringCalls
 from flamingosail.proxy.transport.hop import Cancel
 from flamingosail.proxy.transport.hop import Hello
 from flamingosail.proxy.transport.hop import ServerTerms
@@ -51,7 +53,10 @@
         self, connector, reason
     ):
         """Schedule the next attempt to connect."""
-        self.peer.dial_failed()
+        self.peer.dial_failed(
+            refused=reason is not None
+            and reason.check(ConnectionRefusedError) is not None
+        )
 
 
 class Peer(RemoteServer):
@@ -59,7 +64,9 @@
 
     ``table`` is the PeerTable of this node. A peer is ``near`` if it is in
     the same failure domain. ``terms`` are the last ones that it announced for
-    its server, at ``terms_at``. Times are the reactor's.
+    its server, at ``terms_at``. ``recovering`` holds the calls of connections
+    that are silent or closed, ``candidate`` is the connection that is to
+    replace a silent one. Times are the reactor's.
     """
 
     def __init__(self, *, table, address: Address):
@@ -67,6 +74,8 @@
         self.table = table
         self.address = address
         self.connection: OutboundConnection | None = None
+        self.recovering = RecoveringCalls()
+        self.candidate: OutboundConnection | None = None
         self.streams = count(1)
         self.dialling = False
         self.failed_dials = 0
@@ -96,9 +105,16 @@
             )
 
     def dial(self, now: float):
-        """Open a connection unless one is open or being opened."""
-        if self.connection or self.dialling or now < self.next_dial_at:
+        """Open a connection unless a good one is open or being opened."""
+        connection = self.connection
+        if connection is not None and not connection.suspected:
+            return
+        if self.dialling or now < self.next_dial_at:
             return
+        candidate = self.candidate
+        if candidate is not None and candidate.open:
+            # It was accepted, but its node has not read from it in time.
+            candidate.abort()
         self.dialling = True
         self.table.reactor.connectTCP(
             self.address.host,
@@ -107,31 +123,75 @@
             timeout=DIAL_TIMEOUT_SECONDS,
         )
 
-    def dial_failed(self):
-        """Delay the next attempt; longer after many failures."""
+    def dial_failed(self, *, refused: bool):
+        """Delay the next attempt; longer after many failures.
+
+        Where connections are refused, the process has ended, and with it what
+        it knew of the calls of former connections.
+        """
         self.dialling = False
+        if refused:
+            self.recovering.give_up_all()
         self.failed_dials += 1
         delay = min(
             MAX_REDIAL_SECONDS, REDIAL_SECONDS * max(1, self.failed_dials // 8)
         )
         self.next_dial_at = self.table.clock.seconds() + delay
 
+    def dialled(self, connection: OutboundConnection):
+        """Use a new connection unless it has to prove that it works."""
+        self.dialling = False
+        if self.connection is None:
+            self.connected(connection)
+        else:
+            self.candidate = connection
+            self.next_dial_at = self.table.clock.seconds() + REDIAL_SECONDS
+
     def connected(self, connection: OutboundConnection):
         """Use a new connection for calls."""
-        self.dialling = False
+        former = self.connection
+        if former is connection:
+            return
         self.failed_dials = 0
         self.failure_rate = 0.0
         self.connection = connection
+        self.candidate = None
+        if former is not None and not former.pending:
+            former.abort()
         log.info("peer reached", extra={"peer": str(self.address)})
 
+    def suspect(self, connection: OutboundConnection, now: float):
+        """Dial again, because a connection is silent while it has calls."""
+        log.warning(
+            "connection silent",
+            extra={
+                "peer": str(self.address),
+                "calls": len(connection.pending),
+            },
+        )
+        connection.suspected = True
+        self.recovering.add(connection, now)
+        self.next_dial_at = 0.0
+        self.dial(now)
+
     def disconnected(self, connection: OutboundConnection):
-        """Mark the peer as absent; the next tick dials again."""
+        """Dial again if calls were pending; otherwise the next tick does."""
+        now = self.table.clock.seconds()
+        if self.candidate is connection:
+            self.candidate = None
+        if connection.pending:
+            self.recovering.add(connection, now)
+        else:
+            self.recovering.connections.pop(connection.token, None)
         if self.connection is connection:
             self.connection = None
             self.state = "absent"
-            self.next_dial_at = 0.0
+            if self.candidate is None:
+                self.next_dial_at = 0.0
             self.table.servers_changed()
             log.info("peer lost", extra={"peer": str(self.address)})
+        if connection.pending:
+            self.dial(now)
 
     def remembered_terms(self) -> ServerTerms | None:
         """Return the terms of the peer's server as of now.
@@ -197,6 +257,7 @@
         return (
             connection is not None
             and connection.open
+            and not connection.suspected
             and (
                 connection.unanswered_since is None
                 or connection.unanswered_for(self.table.clock.seconds())
@@ -216,14 +277,17 @@
     def cancel(self, attempt):
         """Cancel a call at the peer if it is pending."""
         connection = attempt.connection
-        if connection.pending.pop(attempt.stream, None) is not None:
+        if (
+            connection.pending.pop(attempt.stream, None) is not None
+            and connection.open
+        ):
             connection.send(Cancel(attempt.stream))
 
     def tick(self, now: float):
         """Dial or ping; abort the connection after a ping timeout."""
         connection = self.connection
-        if connection is None:
+        if connection is None or connection.suspected:
             self.dial(now)
-        elif not connection.tick(now):
+        if connection is not None and not connection.tick(now):
             log.warning("peer silent", extra={"peer": str(self.address)})
             connection.transport.abortConnection()
--- a/flamingosail/proxy/transport/peers.py
+++ b/flamingosail/proxy/transport/peers.py
@@ -25,6 +25,8 @@
 from flamingosail.proxy.shared.loadreports import LoadReports
 from flamingosail.proxy.shared.servers import LocalServer
 from flamingosail.proxy.shared.storeera import StoreEra
+from flamingosail.proxy.transport.callrecovery import CHECK_SECONDS
+from flamingosail.proxy.transport.callrecovery import LATE_CHECK_SECONDS
 from flamingosail.proxy.transport.hop import ConfigCopy
 from flamingosail.proxy.transport.hop import DomainLoad
 from flamingosail.proxy.transport.hop import Evidence
@@ -57,7 +59,8 @@
     node, ``config_version`` and ``config_document`` its configuration.
     ``on_reports`` is called with the load reports of all nodes, ``on_config``
     with a configuration document that a peer sent and its ConfigSource.
-    ``inbound`` holds the accepted connections, ``by_service`` the servers that
+    ``inbound`` holds the accepted connections, ``inbound_by_token`` also those
+    that closed lately, ``by_service`` the servers that
     are not absent, ``spread`` the exchange of configurations.
     ``reaches_store`` is false if this node's last call to the metadata store
     failed, ``store_era`` is the era of that store. Near peers are in the
@@ -84,6 +87,7 @@
     ):
         self.reactor = reactor
         self.clock = reactor
+        self.random = random
         self.gate = gate
         self.quarantine = gate.quarantine
         self.local = local
@@ -97,6 +101,7 @@
         self.on_config = on_config
         self.peers: dict[Address, Peer] = {}
         self.inbound: set[InboundConnection] = set()
+        self.inbound_by_token: dict[int, InboundConnection] = {}
         self.groups: dict[str, ServerGroup] | None = None
         self.spread = ConfigSpread(
             clock=reactor,
@@ -115,6 +120,9 @@
         self.last_aggregate_at = 0.0
         self.loop = LoopingCall(self.tick)
         self.loop.clock = reactor
+        self.checked_at = 0.0
+        self.check_loop = LoopingCall(self.check_connections)
+        self.check_loop.clock = reactor
 
     def buildProtocol(self, addr):  # noqa: N802 - named by twisted
         """Return the protocol of an accepted connection."""
@@ -123,6 +131,8 @@
     def start(self):
         """Start to dial and ping the peers."""
         self.loop.start(TICK_SECONDS, now=True).addErrback(self.tick_failed)
+        if not self.check_loop.running:
+            self.check_loop.start(CHECK_SECONDS, now=False)
 
     def tick_failed(self, failure):
         """Restart the loop: a node that stops pinging loses all its peers."""
@@ -134,6 +144,23 @@
         self.spread.stop()
         if self.loop.running:
             self.loop.stop()
+        if self.check_loop.running:
+            self.check_loop.stop()
+
+    def check_connections(self):
+        """Look for silent connections, and end calls that stay in doubt."""
+        now = self.clock.seconds()
+        late = now - self.checked_at > LATE_CHECK_SECONDS
+        self.checked_at = now
+        for peer in list(self.peers.values()):
+            connection = peer.connection
+            if connection is not None and connection.pending:
+                if late:
+                    connection.silence.restart(now)
+                else:
+                    connection.check_silence(now)
+            if peer.recovering.connections:
+                peer.recovering.expire(now)
 
     def tick(self):
         """Ping or dial each peer and exchange load reports."""
@@ -222,6 +249,7 @@
         """Remove a node whose record was deleted, unless it is connected."""
         peer = self.peers.get(address)
         if peer is not None and peer.connection is None:
+            peer.recovering.give_up_all()
             del self.peers[address]
             self.update_ping_intervals()
             self.servers_changed()
