Bound the requests of client accounts over all nodes

Nothing limited the requests of an account: a hot one took the room of the others and exceeded its quota. Tokens are minted by one holder for each account and failure domain, with shares that the near nodes lend it, and are moved by messages that can be lost but not counted twice. Division from load reports was ruled out: both sides of a cut would go on with the whole rate.

--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -26,6 +26,7 @@
 from flamingosail.proxy.policy.overload import route_key
 from flamingosail.proxy.policy.quarantine import Quarantine
 from flamingosail.proxy.policy.quarantine import Verdict
+from flamingosail.proxy.shared.quotas import Draw
 from flamingosail.proxy.shared.routes import ClientLimits
 from flamingosail.proxy.shared.routes import Route
 from flamingosail.proxy.shared.routes import RouteTable
@@ -126,6 +127,7 @@
         self.quarantine = quarantine
         self.access = access
         self.timeouts = Timeouts(clock=clock, on_due=self.timed_out)
+        peers.quotas.on_decision = self.quota_decided
         self.in_flight = 0
         self.closed = False
         self.ends_at = inf
@@ -134,6 +136,7 @@
         """Use a new version of the routing configuration."""
         self.table = table
         self.limits = table.limits
+        self.peers.quotas.set_tenants(table.tenants)
         self.service_selector.reset()
         routes = [
             route for paths in table.hosts.values() for route in paths.values()
@@ -227,13 +230,51 @@
         if self.is_quarantined(request):
             self.reject_quarantined(request)
             return
+        if self.draws_quota(request):
+            draw = self.peers.quotas.draw(request.tenant, request)
+            if draw is Draw.WAITING:
+                self.in_flight += 1
+                self.timeouts.add(request.deadline, request)
+                return
+        self.start(request)
+
+    def start(self, request: ForwardedRequest):
+        """Admit a request that is within its quota and send it."""
         if not self.admit(request):
+            if self.draws_quota(request):
+                self.peers.quotas.refund(request.tenant)
             return
         self.budget.record_request(request.service)
         self.in_flight += 1
         self.timeouts.add(request.deadline, request)
         self.send(request, "")
 
+    def draws_quota(self, request: ForwardedRequest) -> bool:
+        """Return whether a request counts against the quota of its tenant."""
+        return (
+            request.tenant is not None
+            and request.tenant.rate > 0
+            and request.parent is None
+        )
+
+    def quota_decided(
+        self, request: ForwardedRequest, draw: Draw, retry_after: float
+    ):
+        """Go on with a request that has waited for its quota."""
+        if draw is Draw.GRANTED:
+            self.in_flight -= 1
+            self.start(request)
+        elif draw is Draw.UNKNOWN:
+            self.fail(request, "no node has answered for the quota")
+        else:
+            self.decisions.failure(
+                "over quota",
+                lambda: self.request_fields(request, request.tenant.name),
+            )
+            self.respond(
+                request, 429, b"Retry-After: %.3f\r\n" % retry_after, b""
+            )
+
     def admit(self, request: ForwardedRequest) -> bool:
         """Admit a request, or reject it and return False.
 
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -20,6 +20,7 @@
 from flamingosail.proxy.policy.quarantine import Quarantine
 from flamingosail.proxy.shared.configspread import ConfigSource
 from flamingosail.proxy.shared.freshness import Freshness
+from flamingosail.proxy.shared.quotas import QuotaExchange
 from flamingosail.proxy.shared.routes import RouteTable
 from flamingosail.proxy.shared.servers import LocalServer
 from flamingosail.proxy.shared.serverstate import ServerState
@@ -62,7 +63,9 @@
     memory that the process may use. ``first_start`` is false if a former
     process may have known the backend server. No request with a key is
     accepted ``revocation_seconds`` after a configuration has taken that key
-    away, None if there is no such bound.
+    away, None if there is no such bound. ``failure_domains`` are all failure
+    domains of the system, among which quotas are divided, and ``boot_time`` is
+    that of ``QuotaExchange``.
     """
 
     name: str
@@ -79,6 +82,8 @@
     memory_bytes: int
     first_start: bool = True
     revocation_seconds: float | None = None
+    failure_domains: tuple[str, ...] = ()
+    boot_time: Callable[[], float] | None = None
 
 
 class ProxyNode:
@@ -154,6 +159,17 @@
         self.local = LocalServer(
             gate=self.gate, failure_domain=config.failure_domain
         )
+        self.quotas = QuotaExchange(
+            clock=reactor,
+            random=random,
+            own_address=str(config.advertised),
+            failure_domain=config.failure_domain,
+            failure_domains=config.failure_domains,
+            first_start=config.first_start,
+            peers=lambda: self.peers.peers.values(),
+            metrics=self.metrics,
+            boot_time=config.boot_time,
+        )
         self.peers = PeerTable(
             reactor=reactor,
             random=random,
@@ -170,6 +186,7 @@
             config_document=lambda: self.document,
             on_config=self.apply_config,
             freshness=self.freshness,
+            quotas=self.quotas,
         )
         self.forwarder = Forwarder(
             clock=reactor,
@@ -237,6 +254,8 @@
             buffered_request_bytes=lambda: self.clients.buffered_body_bytes,
             buffered_response_bytes=lambda: self.gate.pool.buffered_bytes,
             server_connects=lambda: self.gate.pool.connect_count,
+            quota_tokens_lent=lambda: self.quotas.lent_tokens,
+            quota_tokens_borrowed=lambda: self.quotas.borrowed_tokens,
             # The metric calls retries second sends.
             second_sends_refused=lambda: self.forwarder.budget.refused,
         )
--- a/flamingosail/proxy/transport/hop.py
+++ b/flamingosail/proxy/transport/hop.py
@@ -14,6 +14,7 @@
 from flamingosail.decoding import decode_untrusted
 from flamingosail.errors import CodecError
 from flamingosail.proxy.policy.overload import LoadReport
+from flamingosail.proxy.policy.quota import QuotaLease
 
 __all__ = [
     "Call",
@@ -32,6 +33,9 @@
     "Outcome",
     "Ping",
     "Pong",
+    "QuotaAsk",
+    "QuotaGrant",
+    "QuotaView",
     "Reply",
     "ServerTerms",
     "Status",
@@ -150,7 +154,8 @@
     ``report`` is None between failure domains. ``store_era`` is the newest era
     of the metadata store that the sender knows of. ``evidence_digest`` is
     equal at nodes with the same evidence; ``evidence`` is None if the receiver
-    is not known to lack a part of it.
+    is not known to lack a part of it. ``quota_lease`` is None between failure
+    domains, and without tenants.
     """
 
     config_version: int
@@ -158,6 +163,7 @@
     store_era: int = 0
     evidence_digest: int = 0
     evidence: Evidence | None = None
+    quota_lease: QuotaLease | None = None
 
 
 class ServerTerms(Struct, array_like=True, gc=False):
@@ -257,6 +263,38 @@
     reports: list[LoadReport]
 
 
+class QuotaAsk(Struct, tag=11, array_like=True, gc=False):
+    """Asks for tokens of tenants.
+
+    Each entry has a number that the grant repeats, the name of a tenant, the
+    tokens that requests wait for, and those that may be added as a surplus. If
+    ``borrow`` is true, only tokens that the receiver can spare are wanted.
+    """
+
+    borrow: bool
+    entries: list[tuple[int, str, float, float]]
+
+
+class QuotaGrant(Struct, tag=12, array_like=True, gc=False):
+    """Reply to entries of a QuotaAsk.
+
+    Each entry has the number of the ask, the tokens, and the seconds after
+    which a request without a token may return; negative if the receiver does
+    not know the tenant.
+    """
+
+    entries: list[tuple[int, float, float]]
+
+
+class QuotaView(Struct, tag=13, array_like=True, gc=False):
+    """A set of nodes, by ``node_id``, which a QuotaLease names by its digest.
+
+    It is sent once on a connection, before the first lease that names it.
+    """
+
+    members: list[int]
+
+
 Message = Union[  # noqa: UP007 - msgspec needs the runtime type
     Call,
     Reply,
@@ -268,6 +306,9 @@
     ConfigPull,
     ConfigCopy,
     DomainLoad,
+    QuotaAsk,
+    QuotaGrant,
+    QuotaView,
 ]
 _encoder = Encoder()
 _decoder = Decoder(Message)
--- a/flamingosail/proxy/transport/hopconnection.py
+++ b/flamingosail/proxy/transport/hopconnection.py
@@ -21,6 +21,9 @@
 from flamingosail.proxy.transport.hop import Outcome
 from flamingosail.proxy.transport.hop import Ping
 from flamingosail.proxy.transport.hop import Pong
+from flamingosail.proxy.transport.hop import QuotaAsk
+from flamingosail.proxy.transport.hop import QuotaGrant
+from flamingosail.proxy.transport.hop import QuotaView
 from flamingosail.proxy.transport.hop import Reply
 from flamingosail.proxy.transport.hop import Status
 from flamingosail.sockets import detect_dead_peer
@@ -185,6 +188,14 @@
                 self.table.reports.add_report(
                     self.peer_address, message.report
                 )
+            if message.quota_lease is not None and self.near:
+                self.table.quotas.handle_lease(
+                    self.peer_address, message.quota_lease
+                )
+        elif kind is QuotaAsk:
+            self.table.quotas.handle_ask(message, self.send)
+        elif kind is QuotaView:
+            self.table.quotas.handle_view(message)
         elif kind is DomainLoad:
             self.table.handle_aggregate(
                 self.failure_domain, self.peer_address, message
@@ -254,6 +265,7 @@
     ``unanswered_since`` is the time of the first ping since data arrived,
     ``pinged_at`` has the times of the pings without a Pong, in the time of
     ``Freshness``.
+    ``sent_views`` has the digests of the quota views that the peer knows.
     """
 
     def __init__(self, *, peer):
@@ -264,6 +276,7 @@
         self.last_ping_at = 0.0
         self.unanswered_since: float | None = None
         self.pinged_at: deque[float] = deque()
+        self.sent_views: set[int] = set()
 
     @property
     def near(self) -> bool:
@@ -342,6 +355,8 @@
             self.table.send_config(self, message.version)
         elif kind is ConfigCopy:
             self.table.receive_config(message.document, near=self.near)
+        elif kind is QuotaGrant:
+            self.table.quotas.handle_grant(message)
 
     def mark_alive(self):
         """Record that the peer is alive."""
@@ -386,7 +401,10 @@
         if self.unanswered_since is None:
             self.unanswered_since = now
         self.pinged_at.append(self.table.freshness.seconds())
-        report = self.table.own_report if self.peer.near else None
+        report = lease = None
+        if self.peer.near:
+            report = self.table.own_report
+            lease = self.table.quotas.lease(self.send, self.sent_views)
         self.send(
             Ping(
                 self.table.config_version(),
@@ -394,5 +412,6 @@
                 self.table.store_era.number,
                 self.table.quarantine.digest,
                 news or self.unsent_evidence(),
+                lease,
             )
         )
--- a/flamingosail/proxy/transport/peers.py
+++ b/flamingosail/proxy/transport/peers.py
@@ -24,6 +24,7 @@
 from flamingosail.proxy.shared.loadreports import aggregate_by_service
 from flamingosail.proxy.shared.loadreports import AGGREGATE_INTERVAL_SECONDS
 from flamingosail.proxy.shared.loadreports import LoadReports
+from flamingosail.proxy.shared.quotas import QuotaExchange
 from flamingosail.proxy.shared.servers import LocalServer
 from flamingosail.proxy.shared.storeera import StoreEra
 from flamingosail.proxy.transport.hop import ConfigCopy
@@ -60,10 +61,10 @@
     with a configuration document that a peer sent and its ConfigSource.
     ``inbound`` holds the accepted connections, ``by_service`` the servers that
     are not absent, ``spread`` the exchange of configurations.
-    ``reaches_store`` is false if this node's last call to the metadata store
-    failed, ``store_era`` is the era of that store, ``freshness`` the lease on
-    the configuration. Near peers are in the
-    failure domain of this node, far peers in others.
+    ``quotas`` exchanges tokens of tenants. ``reaches_store`` is false if this
+    node's last call to the metadata store failed, ``store_era`` is the era of
+    that store, ``freshness`` the lease on the configuration. Near peers are in
+    the failure domain of this node, far peers in others.
     """
 
     noisy = False
@@ -83,6 +84,7 @@
         config_version: Callable,
         config_document: Callable,
         on_config: Callable,
+        quotas: QuotaExchange,
         freshness: Freshness | None = None,
     ):
         self.reactor = reactor
@@ -99,6 +101,7 @@
         self.config_version = config_version
         self.config_document = config_document
         self.on_config = on_config
+        self.quotas = quotas
         self.peers: dict[Address, Peer] = {}
         self.inbound: set[InboundConnection] = set()
         self.groups: dict[str, ServerGroup] | None = None
@@ -149,6 +152,7 @@
         self.renew_lease()
         self.own_report = self.load_report()
         self.local.refresh()
+        self.quotas.tick()
         for peer in list(self.peers.values()):
             peer.tick(now)
         self.on_reports(self.reports.all_reports(self.own_report))
--- a/tests/proxyfakes.py
+++ b/tests/proxyfakes.py
@@ -17,6 +17,7 @@
 from flamingosail.proxy.nodemetrics import NodeMetrics
 from flamingosail.proxy.policy.overload import LoadMeter
 from flamingosail.proxy.policy.quarantine import Quarantine
+from flamingosail.proxy.shared.quotas import QuotaExchange
 from flamingosail.proxy.shared.routes import ClientLimits
 from flamingosail.proxy.shared.routes import Route
 from flamingosail.proxy.shared.routes import RouteTable
@@ -115,6 +116,20 @@
     )
 
 
+def make_quotas(clock, **changes) -> QuotaExchange:
+    """Return the quota exchange of a node of the failure domain fd-a."""
+    fields = {
+        "random": Random(1),
+        "own_address": "10.0.0.5:80",
+        "failure_domain": "fd-a",
+        "failure_domains": ("fd-a", "fd-b"),
+        "first_start": True,
+        "peers": lambda: (),
+        "metrics": NodeMetrics(),
+    }
+    return QuotaExchange(clock=clock, **{**fields, **changes})
+
+
 def make_report(**changes) -> ServerReport:
     """Return a report of a ready server."""
     fields = {
--- a/tests/test_proxy_forward.py
+++ b/tests/test_proxy_forward.py
@@ -27,6 +27,7 @@
 from tests.proxyfakes import DIALECT
 from tests.proxyfakes import make_gate
 from tests.proxyfakes import make_job
+from tests.proxyfakes import make_quotas
 from tests.proxyfakes import make_route
 
 
@@ -88,6 +89,7 @@
         self.other_domain = FakeServer("far", "fd-b")
         self.peers = SimpleNamespace(
             gate=make_gate(self.clock),
+            quotas=make_quotas(self.clock),
             by_service={
                 "histbook": ServerGroup(
                     [self.same_domain, self.other_domain], "fd-a"
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -32,6 +32,7 @@
 from flamingosail.settings import Address
 from tests.proxyfakes import ClosingTransport
 from tests.proxyfakes import make_gate
+from tests.proxyfakes import make_quotas
 from tests.proxyfakes import make_report
 
 OWN = Address("10.0.0.5", 80)
@@ -81,6 +82,7 @@
             config_version=lambda: 1,
             config_document=lambda: b"",
             on_config=lambda document, source: None,
+            quotas=make_quotas(self.clock),
         )
         self.transports = {}
 
