--- a/tests/test_proxy_quota.py
+++ b/tests/test_proxy_quota.py
@@ -139,6 +139,29 @@
         self.assertLess(cluster.total_refused(), 0.01 * 180 * 6)
         self.assert_kept(cluster)
 
+    def test_a_cut_off_holder_and_its_successor_share_the_quota(self):
+        """Failure: the holders are cut off and go on serving clients.
+
+        A holder that went on with the shares of all nodes would exceed the
+        quota together with the one that takes its place.
+        """
+        cluster = Cluster(
+            domains={"a": 3, "b": 3}, tenants=[make_tenant(600, 60)]
+        )
+        cluster.advance(START_SECONDS)
+        cluster.play({"t": 2400}, 2.0)
+        holders = {
+            node.quotas.holder_of(cluster.tenants["t"])
+            for node in cluster.nodes
+        }
+        for node in cluster.nodes:
+            node.cut = node_id(node.address) in holders
+        cluster.play({"t": 2400}, 8.0)
+        for node in cluster.nodes:
+            node.cut = False
+        cluster.play({"t": 2400}, 6.0)
+        self.assert_kept(cluster)
+
     def test_a_lower_limit_binds_at_once(self):
         """Failure: a full bucket and its surplus would exceed a lower limit.
 
@@ -223,7 +246,7 @@
     st.one_of(
         st.tuples(st.just("advance"), st.floats(0.01, 3.0)),
         st.tuples(st.just("spend"), nodes, st.integers(1, 400)),
-        st.tuples(st.just("play"), nodes, st.floats(0.1, 2.0)),
+        st.tuples(st.just("play"), st.floats(0.1, 3.0)),
         st.tuples(st.just("cut node"), nodes),
         st.tuples(st.just("cut link"), nodes, nodes),
         st.tuples(st.just("cut domain"), st.sampled_from(list(SMALL))),
@@ -241,7 +264,7 @@
     """Any order of events on a few nodes."""
 
     def make_cluster(self) -> Cluster:
-        cluster = Cluster(domains=SMALL, tenants=[make_tenant(100, 100)])
+        cluster = Cluster(domains=SMALL, tenants=[make_tenant(200, 100)])
         cluster.advance(START_SECONDS)
         return cluster
 
@@ -255,8 +278,7 @@
                 cluster.request(cluster.nodes[node], "t")
             cluster.advance(0.01)
         elif name == "play":
-            node, seconds = arguments
-            cluster.play({"t": 500}, seconds, [cluster.nodes[node]])
+            cluster.play({"t": 1000}, *arguments)
         elif name == "cut node":
             cluster.nodes[arguments[0]].cut = True
         elif name == "cut link":
