--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -64,8 +64,7 @@
     process may have known the backend server. No request with a key is
     accepted ``revocation_seconds`` after a configuration has taken that key
     away, None if there is no such bound. ``failure_domains`` are all failure
-    domains of the system, among which quotas are divided, and ``boot_time`` is
-    that of ``QuotaExchange``.
+    domains of the system, among which quotas are divided.
     """
 
     name: str
@@ -83,7 +82,6 @@
     first_start: bool = True
     revocation_seconds: float | None = None
     failure_domains: tuple[str, ...] = ()
-    boot_time: Callable[[], float] | None = None
 
 
 class ProxyNode:
@@ -168,7 +166,7 @@
             first_start=config.first_start,
             peers=lambda: self.peers.peers.values(),
             metrics=self.metrics,
-            boot_time=config.boot_time,
+            boot_time=lease_seconds,
         )
         self.peers = PeerTable(
             reactor=reactor,
