--- a/flamingosail/proxy/transport/hop.py
+++ b/flamingosail/proxy/transport/hop.py
@@ -14,6 +14,7 @@
 from flamingosail.decoding import decode_untrusted
 from flamingosail.errors import CodecError
 from flamingosail.proxy.policy.overload import LoadReport
+from flamingosail.proxy.policy.quota import QuotaLease
 
 __all__ = [
     "Call",
@@ -35,6 +36,9 @@
     "Pong",
     "Probe",
     "ProbeReply",
+    "QuotaAsk",
+    "QuotaGrant",
+    "QuotaView",
     "Reply",
     "ResumeCalls",
     "ServerTerms",
@@ -156,6 +160,8 @@
     equal at nodes with the same evidence; ``evidence`` is None if the receiver
     is not known to lack a part of it. ``replies_received`` counts the replies
     that the sender has received on this connection.
+    is not known to lack a part of it. ``quota_lease`` is None between failure
+    domains, and without tenants.
     """
 
     config_version: int
@@ -164,6 +170,7 @@
     evidence_digest: int = 0
     evidence: Evidence | None = None
     replies_received: int = 0
+    quota_lease: QuotaLease | None = None
 
 
 class ServerTerms(Struct, array_like=True, gc=False):
@@ -298,6 +305,38 @@
     absent: list[int]
 
 
+class QuotaAsk(Struct, tag=11, array_like=True, gc=False):
+    """Asks for tokens of tenants.
+
+    Each entry has a number that the grant repeats, the name of a tenant, the
+    tokens that requests wait for, and those that may be added as a surplus. If
+    ``borrow`` is true, only tokens that the receiver can spare are wanted.
+    """
+
+    borrow: bool
+    entries: list[tuple[int, str, float, float]]
+
+
+class QuotaGrant(Struct, tag=12, array_like=True, gc=False):
+    """Reply to entries of a QuotaAsk.
+
+    Each entry has the number of the ask, the tokens, and the seconds after
+    which a request without a token may return; negative if the receiver does
+    not know the tenant.
+    """
+
+    entries: list[tuple[int, float, float]]
+
+
+class QuotaView(Struct, tag=13, array_like=True, gc=False):
+    """A set of nodes, by ``node_id``, which a QuotaLease names by its digest.
+
+    It is sent once on a connection, before the first lease that names it.
+    """
+
+    members: list[int]
+
+
 Message = Union[  # noqa: UP007 - msgspec needs the runtime type
     Call,
     Reply,
@@ -313,6 +352,9 @@
     ProbeReply,
     ResumeCalls,
     CallsResumed,
+    QuotaAsk,
+    QuotaGrant,
+    QuotaView,
 ]
 _encoder = Encoder()
 _decoder = Decoder(Message)
--- a/flamingosail/proxy/transport/hopconnection.py
+++ b/flamingosail/proxy/transport/hopconnection.py
@@ -27,6 +27,9 @@
 from flamingosail.proxy.transport.hop import Pong
 from flamingosail.proxy.transport.hop import Probe
 from flamingosail.proxy.transport.hop import ProbeReply
+from flamingosail.proxy.transport.hop import QuotaAsk
+from flamingosail.proxy.transport.hop import QuotaGrant
+from flamingosail.proxy.transport.hop import QuotaView
 from flamingosail.proxy.transport.hop import Reply
 from flamingosail.proxy.transport.hop import ResumeCalls
 from flamingosail.proxy.transport.hop import Status
@@ -229,6 +232,14 @@
                 self.table.reports.add_report(
                     self.peer_address, message.report
                 )
+            if message.quota_lease is not None and self.near:
+                self.table.quotas.handle_lease(
+                    self.peer_address, message.quota_lease
+                )
+        elif kind is QuotaAsk:
+            self.table.quotas.handle_ask(message, self.send)
+        elif kind is QuotaView:
+            self.table.quotas.handle_view(message)
         elif kind is DomainLoad:
             self.table.handle_aggregate(
                 self.failure_domain, self.peer_address, message
@@ -354,6 +365,7 @@
     ``token`` names the connection to the other node, ``replies_received``
     counts its replies. ``suspected`` is set while the connection is taken to
     be silent; its calls are then resumed on another one.
+    ``sent_views`` has the digests of the quota views that the peer knows.
     """
 
     def __init__(self, *, peer):
@@ -368,6 +380,7 @@
         self.replies_received = 0
         self.silence = SilenceDetector()
         self.suspected = False
+        self.sent_views: set[int] = set()
 
     @property
     def near(self) -> bool:
@@ -455,6 +468,8 @@
             self.table.send_config(self, message.version)
         elif kind is ConfigCopy:
             self.table.receive_config(message.document, near=self.near)
+        elif kind is QuotaGrant:
+            self.table.quotas.handle_grant(message)
 
     def mark_alive(self):
         """Record that the peer is alive."""
@@ -512,7 +527,10 @@
         if self.unanswered_since is None:
             self.unanswered_since = now
         self.pinged_at.append(self.table.freshness.seconds())
-        report = self.table.own_report if self.peer.near else None
+        report = lease = None
+        if self.peer.near:
+            report = self.table.own_report
+            lease = self.table.quotas.lease(self.send, self.sent_views)
         self.send(
             Ping(
                 self.table.config_version(),
@@ -521,5 +539,6 @@
                 self.table.quarantine.digest,
                 news or self.unsent_evidence(),
                 self.replies_received,
+                lease,
             )
         )
