Learn how many requests at a time a shared server takes well

Servers of one service slow down at different loads, and the announced slots do not tell when.

The gate now compares the own time of requests, without their child calls and relative to their route, between levels of concurrency, and lowers the limit where fewer requests at a time complete more work. Levels without recent requests count as good, so that low demand teaches nothing and a limit that is used up rises again. While it is used up, short reductions measure lower levels. Spells of a slow machine are divided out by the slowness that servers of shared machines state as a fourth figure of their load; only for these a limit is learnt. A gradient of the mean run time was ruled out: it takes slow spells, during which requests pile up, for a knee.

--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -218,6 +218,7 @@
             request.rank = parent.rank & ~1
             request.is_retry = parent.is_retry
             request.parent = parent
+            parent.child_call_started(self.clock.seconds())
             if request.is_retry:
                 self.budget.charge(request.service)
             return True
@@ -545,6 +546,8 @@
             request.done = True
             request.head = b""
             self.in_flight -= 1
+            if request.parent is not None:
+                request.parent.child_call_ended(self.clock.seconds())
             if request.is_root:
                 self.meter.record_end(request.root_route, completed=completed)
 
--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -124,12 +124,19 @@
         self.paced_dispatch = None
         self.timeouts = Timeouts(clock=clock, on_due=self.handle_timeout)
 
+    @property
+    def usable_slots(self) -> int:
+        """Slots of the server that requests may use at most."""
+        if self.server.report is None:
+            return 0
+        return max(1, int(self.server.report.slots * USABLE_SLOT_FRACTION))
+
     @property
     def max_running(self) -> int:
         """Requests that may run at a time."""
         if self.server.report is None:
             return 0
-        return max(1, int(self.server.report.slots * USABLE_SLOT_FRACTION))
+        return self.server.concurrency.limit(self.usable_slots)
 
     @property
     def capacity(self) -> int:
@@ -240,6 +247,10 @@
         job.started = now
         job.incarnation = self.server.report.incarnation
         self.running[job.request_id] = job
+        job.running_at_start = len(self.running)
+        self.server.concurrency.record_use(
+            job.running_at_start, self.usable_slots
+        )
         remaining = job.deadline - now
         parts = [
             job.request_line,
@@ -276,6 +287,7 @@
     ):
         """Handle the response to a request, or its failure if None."""
         now = self.clock.seconds()
+        concurrency = (job.running_at_start + len(self.running)) / 2
         self.release_slot(job, now)
         if response is not None:
             self.server.handle_response(job.incarnation, response)
@@ -301,6 +313,9 @@
             )
             self.fail(job, Outcome.SHED, "another server has the address")
         elif response.not_executed:
+            self.server.concurrency.record_rejected(
+                concurrency=concurrency, slots=self.usable_slots
+            )
             self.fail(job, Outcome.SHED, "the server refused the request")
         elif not response.signature and response.status < 300:
             self.fail(job, Outcome.LOST, "the answer is not the server's")
@@ -317,7 +332,7 @@
             if response.status < 500 and self.quarantine.suspects:
                 self.quarantine.clear(job.identify(), reason="answered")
             if response.status < 500 and not job.child_call_failed:
-                self.record_speed(job, seconds)
+                self.record_speed(job, seconds, concurrency)
             self.finish(
                 job,
                 Outcome.ANSWERED,
@@ -347,14 +362,23 @@
                 )
         self.dispatch_queued()
 
-    def record_speed(self, job: Job, seconds: float):
+    def record_speed(self, job: Job, seconds: float, concurrency: float):
         """Compare the duration of a served request with the expected one.
 
+        ``concurrency`` is the mean number of requests that ran meanwhile.
+
         Failures are left out: a server that fails at once is not fast.
         """
         expected = self.expected_seconds(job.root_route, job.service)
         if expected:
             self.server.speed.record(seconds, expected)
+        self.server.concurrency.record_served(
+            job.root_route,
+            seconds=seconds,
+            own_seconds=job.own_seconds(job.started + seconds),
+            concurrency=concurrency,
+            slots=self.usable_slots,
+        )
 
     def release_slot(self, job: Job, now: float):
         """Free the slot of a request and record how long it was in use."""
--- a/flamingosail/proxy/job.py
+++ b/flamingosail/proxy/job.py
@@ -46,7 +46,10 @@
     server that got it, and ``stream`` the number of the call on its
     connection, 0 for a call of this node. Child calls are the calls that the
     server makes for this request: ``child_call_failed`` is set when one
-    failed, ``child_calls_succeeded`` counts the others. ``is_suspect`` says
+    failed, ``child_calls_succeeded`` counts the others, ``open_child_calls``
+    those that have not ended, and ``child_seconds`` is how long any was open,
+    up to ``child_calls_since`` if one is. ``running_at_start`` is the number
+    of requests at the server when this one was sent. ``is_suspect`` says
     that servers had crashed that ran it when it was sent, ``fingerprint`` is 0
     until it is needed, and ``held`` is set while a suspect waits for another
     one to end. ``on_end`` is called
@@ -71,6 +74,10 @@
         "started",
         "child_call_failed",
         "child_calls_succeeded",
+        "open_child_calls",
+        "child_seconds",
+        "child_calls_since",
+        "running_at_start",
         "done",
         "stream",
         "fingerprint",
@@ -110,6 +117,10 @@
         self.started = 0.0
         self.child_call_failed = False
         self.child_calls_succeeded = 0
+        self.open_child_calls = 0
+        self.child_seconds = 0.0
+        self.child_calls_since = 0.0
+        self.running_at_start = 0
         self.done = False
         self.stream = stream
         self.fingerprint = 0
@@ -124,6 +135,25 @@
             )
         return self.fingerprint
 
+    def child_call_started(self, now: float):
+        """Note that the server makes a call for this request."""
+        if not self.open_child_calls:
+            self.child_calls_since = now
+        self.open_child_calls += 1
+
+    def child_call_ended(self, now: float):
+        """Note that a call of the server has ended."""
+        self.open_child_calls -= 1
+        if not self.open_child_calls:
+            self.child_seconds += now - self.child_calls_since
+
+    def own_seconds(self, now: float) -> float:
+        """Return the time at the server in which no child call was open."""
+        seconds = now - self.started - self.child_seconds
+        if self.open_child_calls:
+            seconds -= now - self.child_calls_since
+        return seconds
+
     def end(self):
         """Mark the job as done and drop what only a pending one needs.
 
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -210,6 +210,12 @@
             suspects=lambda: len(self.quarantine.suspects),
             store_reader=lambda: int(self.peers.was_store_reader),
             server_slowness=self.gate.server.speed.slowness,
+            machine_slowness=lambda: (
+                self.gate.server.concurrency.machine.slowness
+            ),
+            learned_limit=lambda: self.gate.max_running,
+            usable_slots=lambda: self.gate.usable_slots,
+            run_seconds=lambda: self.gate.server.concurrency.run_seconds,
             buffered_request_bytes=lambda: self.clients.buffered_body_bytes,
             buffered_response_bytes=lambda: self.gate.pool.buffered_bytes,
             server_connects=lambda: self.gate.pool.connect_count,
--- a/flamingosail/proxy/shared/servers.py
+++ b/flamingosail/proxy/shared/servers.py
@@ -27,8 +27,9 @@
     ``failure_rate`` is the fraction of its recent calls that failed.
     ``cold_until`` is the reactor's time until which the server is slow
     because it has just started. ``slowness`` is the time that it takes for a
-    request, relative to the mean of its service. From ``drain_deadline`` on it
-    gets no requests.
+    request, relative to the mean of its service, and ``run_seconds`` the mean
+    time of its requests, 0 if its node does not tell it. From
+    ``drain_deadline`` on it gets no requests.
     """
 
     local = False
@@ -45,6 +46,7 @@
         self.failure_rate = 0.0
         self.cold_until = 0.0
         self.slowness = 1.0
+        self.run_seconds = 0.0
         self.drain_deadline = inf
         self.failure_domain = ""
 
@@ -87,6 +89,7 @@
         self.state = self.gate.server.state
         self.capacity = self.gate.capacity
         self.slowness = self.gate.server.speed.slowness()
+        self.run_seconds = self.gate.server.concurrency.run_seconds
         self.drain_deadline = drain_deadline(
             self.gate.clock.seconds(),
             self.gate.server.drain_remaining_seconds(),
--- a/flamingosail/proxy/shared/serverstate.py
+++ b/flamingosail/proxy/shared/serverstate.py
@@ -11,6 +11,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from flamingosail.proxy.job import ServerReport
+from flamingosail.proxy.policy.concurrency import ConcurrencyLimit
 from flamingosail.proxy.policy.ratelimit import RateLimiter
 from flamingosail.proxy.policy.speed import SpeedMeter
 from flamingosail.proxy.transport.backendserver import ServerResponse
@@ -49,6 +50,7 @@
     state changes. ``deregistrations`` maps an instance to the time when
     draining began and the latest start to which that applies. ``check`` is
     set while a restarted node has not confirmed that its server still serves.
+    ``concurrency`` is the learned limit of requests at a time.
     ``limiter`` holds the rate limit that the server states in its responses,
     ``announced_rate`` is the one that was last logged and sent to other nodes,
     at ``announced_at``.
@@ -73,6 +75,7 @@
         self.down_until = 0.0
         self.check: ServerCheck | None = None
         self.speed = SpeedMeter(clock=clock)
+        self.concurrency = ConcurrencyLimit(clock=clock)
         self.limiter = RateLimiter(clock=clock)
         self.announced_rate: float | None = None
         self.announced_at = -inf
@@ -141,6 +144,7 @@
             restarted or known.instance != report.instance
         ):
             self.speed.reset()
+            self.concurrency.reset(cold_until=report.cold_until)
             self.limiter.set_rate(None)
             self.announced_rate = None
             self.announced_at = -inf
@@ -248,6 +252,8 @@
         """
         if response.status == 421 or incarnation != self.report.incarnation:
             return
+        if response.load is not None:
+            self.concurrency.record_load(response.load)
         # A response that another program made does not lift the limit.
         if response.rate_limit is not None or response.signature:
             self.responded = True
--- a/flamingosail/proxy/transport/backendserver.py
+++ b/flamingosail/proxy/transport/backendserver.py
@@ -11,6 +11,8 @@
 
 from flamingosail.httpclient import PEEK
 from flamingosail.httpheaders import DROPPED_HEADERS
+from flamingosail.proxy.policy.concurrency import parse_server_load
+from flamingosail.proxy.policy.concurrency import ServerLoad
 from flamingosail.sockets import disable_nagle
 from flamingosail.sockets import write_now
 
@@ -48,6 +50,7 @@
     response names its request. ``signature`` is empty if the server did not
     sign the response, ``instance`` is None if it did not name itself, and
     ``rate_limit`` (requests per second) is None if it did not state a limit.
+    ``load`` is the ServerLoad that it stated, None if there is none.
     """
 
     __slots__ = (
@@ -59,6 +62,7 @@
         "instance",
         "rate_limit",
         "leaving",
+        "load",
     )
 
     def __init__(self, **fields):
@@ -166,6 +170,7 @@
         self.not_executed = False
         self.instance = None
         self.rate_limit: float | None = None
+        self.load: ServerLoad | None = None
         self.leaving = False
         self.keep_alive = False
 
@@ -250,7 +255,8 @@
             self.signature = value
             return
         if lower == dialect.load:
-            return  # the gate counts the running requests itself
+            self.load = parse_server_load(value)
+            return
         if lower == dialect.not_executed:
             self.not_executed = True
             return
@@ -354,6 +360,7 @@
             instance=self.instance,
             rate_limit=self.rate_limit,
             leaving=self.leaving,
+            load=self.load,
         )
         unsent = getattr(self.transport, "dataBuffer", b"") or getattr(
             self.transport, "_tempDataBuffer", None
--- a/flamingosail/proxy/transport/hop.py
+++ b/flamingosail/proxy/transport/hop.py
@@ -202,8 +202,9 @@
 
     ``reaches_store`` is false if the sender's last call to the metadata store
     failed. ``slowness_percent`` is how long its server takes for a request,
-    compared with the mean of its service, the fields from ``store_era`` on
-    are those of ``Ping``.
+    compared with the mean of its service, the fields from ``store_era`` to
+    ``evidence`` are those of ``Ping``. ``run_ms`` is the mean time of its
+    requests in milliseconds, 0 if the node does not learn it.
     """
 
     running: int
@@ -215,6 +216,7 @@
     store_era: int = 0
     evidence_digest: int = 0
     evidence: Evidence | None = None
+    run_ms: int = 0
 
 
 class Hello(Struct, tag=7, array_like=True, gc=False):
--- a/flamingosail/proxy/transport/hopconnection.py
+++ b/flamingosail/proxy/transport/hopconnection.py
@@ -174,6 +174,7 @@
                     self.table.store_era.number,
                     self.table.quarantine.digest,
                     self.unsent_evidence(),
+                    round(1000 * gate.server.concurrency.run_seconds),
                 )
             )
             self.table.store_era.observe(message.store_era, source="peer")
@@ -316,6 +317,7 @@
             self.handle_evidence(message)
             peer.reaches_store = message.reaches_store
             peer.slowness = message.slowness_percent / 100
+            peer.run_seconds = message.run_ms / 1000
             self.table.store_era.observe(message.store_era, source="peer")
             self.table.spread.observe(message.config_version, self)
         elif kind is Status:
--- a/tests/proxyfakes.py
+++ b/tests/proxyfakes.py
@@ -157,6 +157,7 @@
         "instance": None,
         "rate_limit": None,
         "leaving": False,
+        "load": None,
     }
     return ServerResponse(**{**fields, **changes})
 
