Choose servers by their run time, and cross domains by the time to spare

The balancer's costs were constants in seconds: a queue of a full server cost 60 ms whether its requests took 40 ms or 550 ms, and a request crossed to another failure domain for the same wait whatever its client expected and however large it was.

The nodes of servers that learn their limit tell the mean run time with each Pong. Costs at such servers are in run times: the queue ahead, the use of the slots and the slowness. A request crosses when its wait exceeds a share of the time until its route's expected latency, or half a run time; one with a large body waits for up to 60% of that time. Servers whose node tells no run time, among them those of older nodes, cost what they did.

Ruled out: shortest expected delay alone, which lets queues grow in front of fast servers while slow ones are idle, and admission counts queues as overload.

--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -350,7 +350,9 @@
             len(set(request.rejected_by)) + request.possible_runs
             < request.route.max_attempts
         ):
-            server = self.balancer.choose(group, request.tried)
+            server = self.balancer.choose(
+                group, request.tried, request.needs(self.clock.seconds())
+            )
             if server is not None:
                 return server
         server, _ = self.balancer.find_cheapest(
--- a/flamingosail/proxy/forwarding.py
+++ b/flamingosail/proxy/forwarding.py
@@ -3,6 +3,7 @@
 from flamingosail.proxy.exchange import Exchange
 from flamingosail.proxy.gate import CHILD_CALL_FAILED
 from flamingosail.proxy.job import Job
+from flamingosail.proxy.policy.balance import RequestNeeds
 from flamingosail.proxy.shared.routes import Route
 from flamingosail.proxy.shared.servers import RemoteServer
 from flamingosail.proxy.shared.tenants import Tenant
@@ -65,6 +66,18 @@
         self.tenant: Tenant | None = None
         self.failure_response = None
 
+    def needs(self, now: float) -> RequestNeeds:
+        """Return what the request needs of the server chosen for it."""
+        remaining = self.deadline - now
+        slack = remaining / 2
+        target = self.route.target_seconds
+        if target is not None:
+            target -= now - self.exchange.arrived_at
+            slack = min(remaining, max(0.0, target))
+        return RequestNeeds(
+            slack_seconds=slack, body_bytes=len(self.exchange.body)
+        )
+
 
 class Attempt:
     """One attempt to have a request run by one server."""
--- a/flamingosail/proxy/policy/balance.py
+++ b/flamingosail/proxy/policy/balance.py
@@ -8,17 +8,23 @@
 the server that looks best, all would choose the same one until the next
 update. Each node therefore compares a few servers drawn at random, and
 compares all of them only if the sample is full.
+
+The node of a server that learns how it serves also tells the mean run time of
+its requests. Costs at such servers are in run times, and the wait that is
+preferred to another failure domain depends on the request: on how much time it
+has to spare, and on the bytes that would cross.
 """
 
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
+from dataclasses import dataclass
 from itertools import chain
 from random import Random
 
 from flamingosail.proxy.shared.servers import RemoteServer
 
-__all__ = ["LoadBalancer", "ServerGroup"]
+__all__ = ["LoadBalancer", "RequestNeeds", "ServerGroup"]
 
 # Costs are in seconds of latency. A server in another failure domain is chosen
 # if it saves more queueing time than this, in spite of the network traffic.
@@ -50,6 +56,52 @@
 # Cost at full utilization of a server that has just started and is still slow.
 COLD_START_COST_SECONDS = 0.1
 
+# Costs at servers whose run time is known, in run times. The first two decide
+# how unequally servers are used below their capacity: one that is twice as
+# fast has up to half of its slots more in use.
+RUN_WEIGHT = 0.1
+UTILIZATION_WEIGHT = 0.15
+# Servers of such services differ in speed up to three times, and some are
+# slower for spells that end before other nodes have heard of them.
+NORMAL_MEAN_SLOWNESS = 1.75
+SLOW_SERVER_WEIGHT = 0.3
+# Cost at a failure rate of 1: a retry elsewhere, and the loss of a request
+# that may not be repeated.
+FAILURE_WEIGHT = 2.0
+COLD_START_WEIGHT = 0.4
+# A request rather waits in its own failure domain for this share of its slack,
+# and no longer than this many run times, so that the queues stay short.
+SLACK_SHARE = 0.2
+MAX_WAIT_RUNS = 0.5
+# One with a large body waits longer. From LARGE_BODY_BYTES on it waits for
+# LARGE_BODY_SLACK_SHARE; such requests are too few to cause long queues.
+LARGE_BODY_BYTES = 32_768
+LARGE_BODY_SLACK_SHARE = 0.6
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestNeeds:
+    """What a request needs of the server that is chosen for it.
+
+    ``slack_seconds`` is the time left until its client expects the response,
+    or half of the time left if the client's expectation is not known.
+    ``body_bytes`` is the size of its body.
+    """
+
+    slack_seconds: float
+    body_bytes: int = 0
+
+    def wait_seconds(self, run_seconds: float) -> float:
+        """Return the wait that is preferred to another failure domain.
+
+        ``run_seconds`` is the mean run time at the servers.
+        """
+        slack = max(0.0, self.slack_seconds - run_seconds)
+        wait = min(SLACK_SHARE * slack, MAX_WAIT_RUNS * run_seconds)
+        longest = LARGE_BODY_SLACK_SHARE * slack
+        size = min(1.0, self.body_bytes / LARGE_BODY_BYTES)
+        return wait + size * max(0.0, longest - wait)
+
 
 class ServerGroup:
     """The servers of one service, inside and outside a failure domain."""
@@ -77,28 +129,31 @@
         self,
         servers: ServerGroup,
         excluded: Collection[RemoteServer] = (),
+        needs: RequestNeeds | None = None,
     ) -> RemoteServer | None:
         """Return the server for the next request, None if there is none.
 
         Servers of other failure domains are considered only if every server
-        compared in our own costs at least CROSS_DOMAIN_COST_SECONDS.
+        compared in our own costs at least as much as crossing.
         """
         now = self.clock.seconds()
+        crossing = self.crossing_cost(servers, needs)
         best, cost = self.find_cheapest(
             self.sample(servers.same_domain, SAME_DOMAIN_CANDIDATES),
             excluded,
             now,
         )
         if (
-            cost >= CROSS_DOMAIN_COST_SECONDS
+            cost >= crossing
             and len(servers.same_domain) > SAME_DOMAIN_CANDIDATES
         ):
             best, cost = self.find_cheapest(servers.same_domain, excluded, now)
-        if cost >= CROSS_DOMAIN_COST_SECONDS:
+        if cost >= crossing:
             other, other_cost = self.find_cheapest(
                 self.sample(servers.other_domains, OTHER_DOMAINS_CANDIDATES),
                 excluded,
                 now,
+                crossing,
             )
             if other_cost < cost:
                 best = other
@@ -106,6 +161,16 @@
             best, _ = self.find_cheapest(servers.other_domains, excluded, now)
         return best
 
+    def crossing_cost(
+        self, servers: ServerGroup, needs: RequestNeeds | None
+    ) -> float:
+        """Return the cost of choosing another failure domain, in seconds."""
+        if needs is not None:
+            for server in servers.same_domain:
+                if server.run_seconds:
+                    return needs.wait_seconds(server.run_seconds)
+        return CROSS_DOMAIN_COST_SECONDS
+
     def sample(
         self, servers: list[RemoteServer], count: int
     ) -> list[RemoteServer]:
@@ -119,8 +184,12 @@
         servers: Iterable[RemoteServer],
         excluded: Collection[RemoteServer],
         now: float,
+        crossing: float = CROSS_DOMAIN_COST_SECONDS,
     ) -> tuple[RemoteServer | None, float]:
-        """Return the usable server with the lowest cost, and its cost."""
+        """Return the usable server with the lowest cost, and its cost.
+
+        ``crossing`` is the cost of another failure domain, in seconds.
+        """
         best, best_cost = None, float("inf")
         for server in servers:
             if (
@@ -130,12 +199,19 @@
             ):
                 continue
             cost = self.cost(server, now)
+            if server.failure_domain != self.failure_domain:
+                cost += crossing
             if cost < best_cost and server.usable:
                 best, best_cost = server, cost
         return best, best_cost
 
     def cost(self, server: RemoteServer, now: float) -> float:
-        """Return the estimated cost of choosing a server, in seconds."""
+        """Return the cost of choosing a server, in seconds.
+
+        The cost of another failure domain is not included.
+        """
+        if server.run_seconds:
+            return self.run_cost(server, now) * server.run_seconds
         load = server.load() + self.random.random()
         capacity = server.capacity
         waiting = max(0.0, load + 1 - USABLE_SLOT_SHARE * capacity)
@@ -152,6 +228,23 @@
             cost += DRAINING_COST_SECONDS
         if server.cold_until > now:
             cost += (load / capacity) * COLD_START_COST_SECONDS
-        if server.failure_domain != self.failure_domain:
-            cost += CROSS_DOMAIN_COST_SECONDS
+        return cost
+
+    def run_cost(self, server: RemoteServer, now: float) -> float:
+        """Return the cost of a server of known run time, in run times.
+
+        The wait is that until the requests ahead have left their slots.
+        """
+        load = server.load() + self.random.random()
+        capacity = server.capacity
+        slowness = server.slowness
+        ahead = max(0.0, load + 1 - USABLE_SLOT_SHARE * capacity)
+        cost = ahead / capacity + (load / capacity) * UTILIZATION_WEIGHT
+        cost += (slowness - 1.0) * RUN_WEIGHT
+        cost += max(0.0, slowness - NORMAL_MEAN_SLOWNESS) * SLOW_SERVER_WEIGHT
+        cost += server.failure_rate * FAILURE_WEIGHT
+        if server.state != "ready":
+            cost += DRAINING_COST_SECONDS / server.run_seconds
+        if server.cold_until > now:
+            cost += (load / capacity) * COLD_START_WEIGHT
         return cost
--- a/flamingosail/proxy/policy/concurrency.py
+++ b/flamingosail/proxy/policy/concurrency.py
@@ -13,9 +13,10 @@
 from dataclasses import dataclass
 from math import exp
 from math import inf
-from math import log
+from math import log as ln
 from math import sqrt
 
+from logbook import Logger
 from twisted.internet.interfaces import IReactorTime
 
 __all__ = [
@@ -68,6 +69,9 @@
 MAX_RATIO = 20.0
 MIN_RUN_SECONDS = 0.0005
 
+# Changes of the limit that are smaller than this share are not logged.
+LOGGED_CHANGE = 0.15
+
 # The slowness of a machine is usually 100 percent. What is farther from that
 # than a factor of ten is an error of the server.
 USUAL_SLOWNESS_PERCENT = 100
@@ -76,6 +80,8 @@
 # A single figure may be an outlier; spells of slowness last longer than this.
 SLOWNESS_SMOOTHING_SECONDS = 0.15
 
+log = Logger("proxy.gate")
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServerLoad:
@@ -176,8 +182,8 @@
         served = self.served
         share = served / (served + self.rejected)
         return (
-            CONCURRENCY_WEIGHT * log(self.concurrency / served)
-            + log(share)
+            CONCURRENCY_WEIGHT * ln(self.concurrency / served)
+            + ln(share)
             - self.total / served
         )
 
@@ -241,6 +247,7 @@
         self.cold_until = cold_until
         self.next_step_at = now + STEP_SECONDS
         self.used_up = False
+        self.logged_share = 1.0
         self.probes = iter(PROBE_SHARES)
         self.probe_share = 1.0
         self.probe_until = 0.0
@@ -262,8 +269,6 @@
             share = min(
                 share, COLD_START_SHARE + (1.0 - COLD_START_SHARE) * elapsed
             )
-        # Rounded half up, so that every share below 1 leaves a slot free only
-        # where the server has enough of them.
         return max(1, min(slots, int(slots * share + 0.5)))
 
     def record_load(self, load: ServerLoad):
@@ -293,12 +298,12 @@
         self.run_seconds += RUN_SMOOTHING * (seconds - self.run_seconds)
         if self.clock.seconds() < self.cold_until:
             return
-        value = log(max(MIN_RUN_SECONDS, own_seconds) / self.machine.slowness)
+        value = ln(max(MIN_RUN_SECONDS, own_seconds) / self.machine.slowness)
         baseline = self.routes.get(root_route)
         if baseline is None:
             baseline = self.routes[root_route] = RouteMean()
         mean = baseline.update(value, self.clock.seconds())
-        bound = log(MAX_RATIO)
+        bound = ln(MAX_RATIO)
         relative = max(-bound, min(bound, value - mean))
         level = self.level(concurrency, slots)
         level.served += 1.0
@@ -343,6 +348,17 @@
         elif self.used_up:
             self.share = min(best, self.share + step)
         self.used_up = False
+        if abs(self.share - self.logged_share) > LOGGED_CHANGE:
+            log.info(
+                "limit learned",
+                extra={
+                    "limit": self.limit(slots),
+                    "usable_slots": slots,
+                    "before": round(self.logged_share * slots),
+                    "machine_slowness": round(self.machine.slowness, 2),
+                },
+            )
+            self.logged_share = self.share
 
     def start_probe(self, now: float):
         """Reduce the limit until the requests that run now have ended."""
