--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -320,6 +320,8 @@
             forwarder=self, request=request, server=server
         )
         server.calls_in_flight += 1
+        if server.failure_domain != self.balancer.failure_domain:
+            self.metrics.count("calls_to_other_domains", request.service)
         server.call(
             attempt,
             {
