--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -289,6 +289,7 @@
             # priority.
             request.rank = parent.rank & ~1
             request.is_retry = parent.is_retry
+            parent.child_call_started(self.clock.seconds())
             if request.is_retry:
                 self.budget.charge(request.service)
             return True
@@ -414,6 +415,8 @@
             forwarder=self, request=request, server=server
         )
         server.calls_in_flight += 1
+        if server.failure_domain != self.balancer.failure_domain:
+            self.metrics.count("calls_to_other_domains", request.service)
         server.call(
             attempt,
             {
@@ -444,7 +447,9 @@
             len(set(request.rejected_by)) + request.possible_runs
             < request.route.max_attempts
         ):
-            server = self.balancer.choose(group, request.tried)
+            server = self.balancer.choose(
+                group, request.tried, request.needs(self.clock.seconds())
+            )
             if server is not None:
                 return server
         server, _ = self.balancer.find_cheapest(
@@ -640,6 +645,8 @@
             request.done = True
             request.head = b""
             self.in_flight -= 1
+            if request.parent is not None:
+                request.parent.child_call_ended(self.clock.seconds())
             if request.is_root:
                 self.meter.record_end(request.root_route, completed=completed)
 
--- a/flamingosail/proxy/transport/hop.py
+++ b/flamingosail/proxy/transport/hop.py
@@ -159,9 +159,8 @@
     of the metadata store that the sender knows of. ``evidence_digest`` is
     equal at nodes with the same evidence; ``evidence`` is None if the receiver
     is not known to lack a part of it. ``replies_received`` counts the replies
-    that the sender has received on this connection.
-    is not known to lack a part of it. ``quota_lease`` is None between failure
-    domains, and without tenants.
+    that the sender has received on this connection. ``quota_lease`` is None
+    between failure domains, and without tenants.
     """
 
     config_version: int
@@ -218,7 +217,8 @@
     compared with the mean of its service, the fields from ``store_era`` to
     ``evidence`` are those of ``Ping``. ``config_age_ms`` is how long ago its
     configuration was proved to be the newest, None without a proof
-    (``proxy.shared.freshness``).
+    (``proxy.shared.freshness``). ``run_ms`` is the mean time of its server's
+    requests in milliseconds, 0 if the node does not learn it.
     """
 
     running: int
@@ -231,6 +231,7 @@
     evidence_digest: int = 0
     evidence: Evidence | None = None
     config_age_ms: int | None = None
+    run_ms: int = 0
 
 
 class Hello(Struct, tag=7, array_like=True, gc=False):
--- a/flamingosail/proxy/transport/hopconnection.py
+++ b/flamingosail/proxy/transport/hopconnection.py
@@ -224,6 +224,7 @@
                     self.table.quarantine.digest,
                     self.unsent_evidence(),
                     self.table.freshness.age_ms(),
+                    round(1000 * gate.server.concurrency.run_seconds),
                 )
             )
             self.table.store_era.observe(message.store_era, source="peer")
@@ -445,6 +446,7 @@
             self.handle_evidence(message)
             peer.reaches_store = message.reaches_store
             peer.slowness = message.slowness_percent / 100
+            peer.run_seconds = message.run_ms / 1000
             self.table.store_era.observe(message.store_era, source="peer")
             self.table.spread.observe(message.config_version, self)
             # Each Ping is answered by one Pong, in order.
