Bound the bytes and connections held for crowds of clients

Cause: bodies were bounded while they arrived only. Complete requests, responses that wait or are not read, and messages between nodes were not. Pieces of bodies were kept in lists, with some 40 bytes of overhead for each, and closed connections stayed in reference cycles with their parser until the rare garbage collections. Connections were not counted at all.

Change: one budget of a quarter of memoryMb for all holders, a quarter of that for messages of up to 64 kB. Over it, the clients that hold most are refused or disconnected, complete requests are refused unsent. Requests behind unread responses wait. Three quarters of the sockets of maxFds are for clients.

tests/test_proxy_connections.py compared the list of pieces that the connection no longer has; it checks the body instead.

--- a/experiments/platformcluster.py
+++ b/experiments/platformcluster.py
@@ -118,11 +118,19 @@
     """Starts and ends the processes of some VMs and the store.
 
     ``layout`` maps a service to its number of VMs; ``folder`` is for settings
-    and logs. Nodes reach the store at ``store_port``, which a proxy may serve;
-    the store itself listens on ``real_store_port``.
+    and logs, and ``settings`` are added to those of each node. Nodes reach the
+    store at ``store_port``, which a proxy may serve; the store itself listens
+    on ``real_store_port``.
     """
 
-    def __init__(self, *, layout: dict[str, int], folder: Path | None = None):
+    def __init__(
+        self,
+        *,
+        layout: dict[str, int],
+        folder: Path | None = None,
+        settings: dict[str, str] | None = None,
+    ):
+        self.settings = settings or {}
         self.folder = folder or Path(tempfile.mkdtemp(prefix="cluster-"))
         self.processes: dict[str, subprocess.Popen] = {}
         self.log_sizes: dict[str, int] = {}
@@ -189,6 +197,7 @@
             "platform.address": f"{HOST}:{self.store_port}",
             "bounds": "drainS=2,graceS=6,"
             "retryBudgetRatio=0.2,budgetMinRetries=47",
+            **self.settings,
         }
         settings.write_text(
             "".join(f"{key}={value}\n" for key, value in values.items())
--- a/flamingosail/proxy/exchange.py
+++ b/flamingosail/proxy/exchange.py
@@ -30,7 +30,8 @@
     long the client waits, None if not stated, and ``arrived_at`` the reactor's
     time at which its header was complete.
     ``request`` belongs to the handler. ``done`` is set when the request has
-    been answered or its client has disconnected.
+    been answered or its client has disconnected. ``held_bytes`` is what the
+    connection counts for the request, or for its response until it is written.
     """
 
     __slots__ = (
@@ -47,6 +48,7 @@
         "output",
         "request",
         "done",
+        "held_bytes",
     )
 
     def __init__(self, *, connection):
@@ -62,6 +64,7 @@
         self.output = None
         self.request = None
         self.done = False
+        self.held_bytes = 0
 
     def respond(self, status: int, response_head: bytes, body: bytes = b""):
         """Set the response; the connection writes it when its turn comes.
@@ -77,7 +80,10 @@
         else:
             length = b"Content-Length: %d\r\n" % len(body)
         self.output = (status_line(status) + response_head + length, body)
+        counted = self.held_bytes > 0
         self.release()
+        if counted:
+            self.connection.hold_response(self)
         self.connection.flush()
 
     def release(self):
@@ -88,3 +94,5 @@
         self.request = None
         self.body = b""
         self.head = []
+        if self.held_bytes:
+            self.connection.release_request(self)
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from random import Random
 
 from logbook import Logger
@@ -18,6 +19,8 @@
 from flamingosail.proxy.policy.overload import LoadReport
 from flamingosail.proxy.policy.quarantine import Quarantine
 from flamingosail.proxy.shared.configspread import ConfigSource
+from flamingosail.proxy.shared.heldbytes import HeldBytes
+from flamingosail.proxy.shared.heldbytes import Holder
 from flamingosail.proxy.shared.routes import RouteTable
 from flamingosail.proxy.shared.servers import LocalServer
 from flamingosail.proxy.shared.serverstate import ServerState
@@ -44,6 +47,11 @@
 # responses. A message exists up to three times while it is passed on: in
 # pieces, joined, and as a frame that is being written.
 BUFFERED_MEMORY_SHARE = 1 / 8
+# Share of the memory for all that is held for clients, servers and peers.
+HELD_MEMORY_SHARE = 1 / 4
+# Share of the descriptors of sockets for clients; the rest is for the backend
+# server, other nodes and the metadata store.
+CLIENT_SOCKET_SHARE = 3 / 4
 
 log = Logger("proxy.node")
 
@@ -57,7 +65,8 @@
     VM. A server gets no requests ``drain_seconds`` after its deregistration,
     and the process is killed ``stop_seconds`` after SIGTERM. ``retry_ratio``
     and ``retry_minimum`` are those of ``RetryBudget``. ``memory_bytes`` is the
-    memory that the process may use. ``first_start`` is false if a former
+    memory that the process may use, ``max_sockets`` bounds its sockets.
+    ``first_start`` is false if a former
     process may have known the backend server.
     """
 
@@ -73,6 +82,7 @@
     retry_ratio: float
     retry_minimum: float
     memory_bytes: int
+    max_sockets: float = inf
     first_start: bool = True
 
 
@@ -102,6 +112,7 @@
         self.stop_seconds = config.stop_seconds
         self.ports = []
         buffer_limit = int(config.memory_bytes * BUFFERED_MEMORY_SHARE)
+        self.held = HeldBytes(limit=config.memory_bytes * HELD_MEMORY_SHARE)
         self.meter = LoadMeter(clock=reactor)
         self.metrics = NodeMetrics()
         self.quarantine = Quarantine(
@@ -118,6 +129,7 @@
                 dialect=dialect,
                 address=config.server,
                 max_buffered_bytes=buffer_limit,
+                held=self.held,
             ),
             dialect=dialect,
             server=ServerState(
@@ -157,6 +169,7 @@
             config_version=self.config_version,
             config_document=lambda: self.document,
             on_config=self.apply_config,
+            held=self.held,
         )
         self.forwarder = Forwarder(
             clock=reactor,
@@ -184,6 +197,8 @@
             dialect=dialect,
             handler=self.forwarder,
             max_buffered_bytes=buffer_limit,
+            max_connections=config.max_sockets * CLIENT_SOCKET_SHARE,
+            held=self.held,
         )
 
         self.metrics.gauges.update(
@@ -212,6 +227,13 @@
             server_slowness=self.gate.server.speed.slowness,
             buffered_request_bytes=lambda: self.clients.buffered_body_bytes,
             buffered_response_bytes=lambda: self.gate.pool.buffered_bytes,
+            held_bytes_limit=lambda: self.held.limit,
+            **{
+                f"held_bytes_{holder}": lambda holder=holder: (
+                    self.held.by_holder[holder]
+                )
+                for holder in Holder
+            },
             server_connects=lambda: self.gate.pool.connect_count,
             # The metric calls retries second sends.
             second_sends_refused=lambda: self.forwarder.budget.refused,
--- a/flamingosail/proxy/transport/backendserver.py
+++ b/flamingosail/proxy/transport/backendserver.py
@@ -11,8 +11,9 @@
 
 from flamingosail.httpclient import PEEK
 from flamingosail.httpheaders import DROPPED_HEADERS
+from flamingosail.proxy.shared.heldbytes import Holder
+from flamingosail.proxy.transport.output import OutputBuffer
 from flamingosail.sockets import disable_nagle
-from flamingosail.sockets import write_now
 
 __all__ = [
     "CONNECTION_LOST",
@@ -150,6 +151,7 @@
         self.size = 0
         self.bodiless_bytes = 0
         self.surplus_input = False
+        self.output: OutputBuffer | None = None
         self.refused_ids: set[bytes] = set()
         self.reset()
 
@@ -160,7 +162,7 @@
         self.has_length = False
         self.status = 0
         self.head: list[bytes] = []
-        self.chunks: list[bytes] = []
+        self.body: bytes | bytearray = b""
         self.response_id = None
         self.signature = b""
         self.not_executed = False
@@ -174,12 +176,20 @@
     def connectionMade(self):  # noqa: N802 - named by twisted
         """Mark the connection as open and disable Nagle's algorithm."""
         self.open = True
+        self.output = OutputBuffer(
+            transport=self.transport,
+            held=self.pool.held,
+            holder=Holder.SERVER_OUTPUT,
+        )
         disable_nagle(self.transport)
 
     def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
         """End the request; a response without length may be complete."""
         self.open = False
         self.pool.remove(self)
+        # The parser refers back to this object; without the cycle its memory
+        # is released at once.
+        self.parser = None
         request = self.request
         if request is None:
             self.release_buffer()
@@ -206,7 +216,7 @@
             return
         self.size += len(data)
         self.bodiless_bytes += len(data)
-        self.pool.buffered_bytes += len(data)
+        self.pool.hold(len(data))
         try:
             self.parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade) as error:
@@ -282,7 +292,13 @@
             self.surplus_input = True
         else:
             self.bodiless_bytes = 0
-            self.chunks.append(data)
+            # A list of the pieces would take some 40 bytes for each of them.
+            if self.body:
+                if type(self.body) is bytes:
+                    self.body = bytearray(self.body)
+                self.body += data
+            else:
+                self.body = data
 
     def on_message_complete(self):
         """Complete the response if it belongs to the request.
@@ -338,25 +354,27 @@
         request.connection = self
         request.written = True
         data, request.data = request.data, b""
-        write_now(self.transport, data)
+        self.output.write(data)
 
     def deliver(self):
         """Finish the request; release the connection if it is reusable."""
         request, self.request = self.request, None
-        chunks, self.chunks = self.chunks, []
+        body, self.body = self.body, b""
         self.release_buffer()
         response = ServerResponse(
             status=self.status,
             head=b"".join(self.head),
-            body=chunks[0] if len(chunks) == 1 else b"".join(chunks),
+            body=bytes(body),
             signature=self.signature,
             not_executed=self.not_executed,
             instance=self.instance,
             rate_limit=self.rate_limit,
             leaving=self.leaving,
         )
-        unsent = getattr(self.transport, "dataBuffer", b"") or getattr(
-            self.transport, "_tempDataBuffer", None
+        unsent = (
+            self.output.size
+            or getattr(self.transport, "dataBuffer", b"")
+            or getattr(self.transport, "_tempDataBuffer", None)
         )
         if self.surplus_input or not self.keep_alive or unsent:
             # If a part of the request is still unsent, the server would read
@@ -368,7 +386,7 @@
 
     def release_buffer(self):
         """Subtract the bytes of this connection from the total of the pool."""
-        self.pool.buffered_bytes -= self.size
+        self.pool.hold(-self.size)
         self.size = 0
 
     def fail(self, reason: str):
@@ -380,7 +398,8 @@
     def close(self):
         """Close the connection without flushing it."""
         self.release_buffer()
-        self.chunks = []
+        self.body = b""
+        self.output.release()
         if self.open:
             self.open = False
             self.pool.remove(self)
--- a/flamingosail/proxy/transport/client.py
+++ b/flamingosail/proxy/transport/client.py
@@ -5,6 +5,9 @@
 """
 
 from collections import deque
+from heapq import nlargest
+from heapq import nsmallest
+from math import inf
 
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
@@ -20,9 +23,12 @@
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.exchange import Exchange
 from flamingosail.proxy.exchange import ExchangeHandler
+from flamingosail.proxy.shared.heldbytes import HeldBytes
+from flamingosail.proxy.shared.heldbytes import Holder
+from flamingosail.proxy.shared.heldbytes import SMALL_BYTES
 from flamingosail.proxy.shared.routes import ClientLimits
+from flamingosail.proxy.transport.output import OutputBuffer
 from flamingosail.sockets import disable_nagle
-from flamingosail.sockets import write_now
 
 __all__ = ["ClientListener"]
 
@@ -42,6 +48,19 @@
 # take this many times the header limit; some headers are not counted there.
 MAX_HEADER_OVERHEAD = 4
 MAX_REQUEST_ID_BYTES = 256
+# The objects of a request, besides its head and body.
+REQUEST_OVERHEAD_BYTES = 4096
+# While more of its responses than this are unread, no further request of a
+# connection is handled.
+MAX_UNREAD_BYTES = 262_144
+# A connection is aborted if its client reads nothing for this long while
+# responses wait. Clients give up at their own deadline before.
+UNREAD_TIMEOUT_SECONDS = 60.0
+# Connections that are closed at a time to free memory or descriptors; finding
+# them takes a look at all connections.
+EVICTION_BATCH = 16
+# Retry-After of a request that was refused to free memory or descriptors.
+EVICTED_RETRY_AFTER = b"Retry-After: 0.500\r\n"
 
 log = Logger("proxy.client")
 
@@ -57,9 +76,11 @@
 class ClientConnection(Protocol):
     """One connection of a client.
 
-    ``pending`` holds the unanswered requests in order, ``completed`` those
-    parsed but not yet given to the handler, and ``exchange`` the request that
-    is being received. Once ``closing``, input is ignored.
+    ``pending`` holds the unanswered requests in order, ``undispatched`` those
+    of them not yet given to the handler, ``completed`` those parsed since data
+    arrived, and ``exchange`` the request that is being received, of which
+    ``arriving_bytes`` are held. ``response_bytes`` is the size of responses
+    that wait for an earlier one. Once ``closing``, input is ignored.
     """
 
     def __init__(self, *, listener: "ClientListener"):
@@ -69,15 +90,22 @@
         self.pending: deque[Exchange] = deque()
         self.parser = HttpRequestParser(self)
         self.exchange: Exchange | None = None
-        self.body_chunks: list[bytes] = []
+        self.body: bytes | bytearray = b""
         self.body_bytes = 0
+        self.arriving_bytes = 0
+        self.response_bytes = 0
+        self.unsent_bytes = 0
+        self.last_read = 0.0
         self.header_bytes = 0
         self.bodiless_bytes = 0
         self.header_started_at = 0.0
         self.last_used = 0.0
         self.closing = False
         self.reading = True
+        self.dispatching = False
         self.completed: list[Exchange] = []
+        self.undispatched: deque[Exchange] = deque()
+        self.output: OutputBuffer | None = None
 
     # Called by twisted.
 
@@ -85,6 +113,12 @@
         """Disable Nagle's algorithm and register with the listener."""
         disable_nagle(self.transport)
         self.last_used = self.listener.clock.seconds()
+        self.output = OutputBuffer(
+            transport=self.transport,
+            held=self.listener.held,
+            holder=Holder.CLIENT_OUTPUT,
+            on_drained=self.resume,
+        )
         self.listener.connections.add(self)
 
     def dataReceived(self, data):  # noqa: N802 - named by twisted
@@ -93,11 +127,7 @@
             return
         limits = self.handler.limits
         exchange = self.exchange
-        if (
-            exchange is not None
-            and not self.body_chunks
-            and not self.body_bytes
-        ):
+        if exchange is not None and not self.body_bytes:
             self.header_bytes += len(data)
         self.bodiless_bytes += len(data)
         try:
@@ -119,21 +149,27 @@
             self.reject(error)
             return
         self.handle_completed()
-        if self.reading and len(self.pending) >= MAX_PIPELINED_REQUESTS:
-            self.reading = False
-            self.transport.pauseProducing()
+        if self.exchange is not None:
+            self.count_arriving()
 
     def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
         """Cancel the unanswered requests."""
         self.closing = True
         self.listener.connections.discard(self)
         self.release_buffered_body()
+        # The parser refers back to this object; without the cycle its memory
+        # is released at once.
+        self.parser = None
+        self.output.release()
+        self.undispatched.clear()
         pending, self.pending = self.pending, deque()
         for exchange in pending:
-            if not exchange.done:
-                exchange.done = True
-                self.handler.client_disconnected(exchange)
-                exchange.release()
+            if exchange.done:
+                self.drop_response(exchange)
+                continue
+            exchange.done = True
+            self.handler.client_disconnected(exchange)
+            exchange.release()
 
     # Called by the parser.
 
@@ -206,45 +242,148 @@
         """Buffer a part of the body."""
         size = len(data)
         self.bodiless_bytes = 0
-        self.body_bytes += size
-        self.listener.buffered_body_bytes += size
-        if self.body_bytes > self.handler.limits.max_body_bytes:
+        if self.body_bytes + size > self.handler.limits.max_body_bytes:
             raise _Rejected(413, "the body is too large")
-        if (
-            self.listener.buffered_body_bytes
-            > self.listener.max_buffered_bytes
-        ):
-            raise _Rejected(503, "no memory for the body")
-        self.body_chunks.append(data)
+        if not self.body_bytes:
+            self.body = data
+        else:
+            # A list of the pieces would take some 40 bytes for each of them,
+            # and chunks may be as short as one byte.
+            if type(self.body) is bytes:
+                self.body = bytearray(self.body)
+            self.body += data
+        self.body_bytes += size
 
     def on_message_complete(self):
         """Queue a complete request for the handler."""
         exchange, self.exchange = self.exchange, None
-        chunks, self.body_chunks = self.body_chunks, []
-        exchange.body = chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        body = self.body
+        size = self.body_bytes + self.header_bytes + REQUEST_OVERHEAD_BYTES
         self.release_buffered_body()
+        exchange.body = bytes(body)
+        exchange.held_bytes = size
+        self.listener.held.add(Holder.REQUESTS, size)
         exchange.keep_alive = self.parser.should_keep_alive()
         self.completed.append(exchange)
 
     # Requests and responses.
 
+    @property
+    def unread_bytes(self) -> int:
+        """Size of the responses that the client has not read."""
+        return self.response_bytes + self.output.size
+
+    def count_arriving(self):
+        """Count what is held of the request being received."""
+        size = self.body_bytes or self.header_bytes
+        added = size - self.arriving_bytes
+        self.listener.held.add(Holder.ARRIVING_REQUESTS, added)
+        self.arriving_bytes = size
+        self.listener.limit_arriving()
+
     def release_buffered_body(self):
-        """Subtract the body being received from the buffered total."""
-        self.listener.buffered_body_bytes -= self.body_bytes
+        """Drop what is held of the request being received."""
+        self.listener.held.add(Holder.ARRIVING_REQUESTS, -self.arriving_bytes)
+        self.arriving_bytes = 0
+        self.body = b""
         self.body_bytes = 0
 
+    def release_request(self, exchange: Exchange):
+        """Subtract a request that has been answered or cancelled."""
+        self.listener.held.add(Holder.REQUESTS, -exchange.held_bytes)
+        exchange.held_bytes = 0
+
+    def hold_response(self, exchange: Exchange):
+        """Count a response until it is written."""
+        head, body = exchange.output
+        size = exchange.held_bytes = len(head) + len(body)
+        self.response_bytes += size
+        self.listener.held.add(Holder.RESPONSES, size)
+
+    def drop_response(self, exchange: Exchange):
+        """Subtract a response that is written or dropped."""
+        size, exchange.held_bytes = exchange.held_bytes, 0
+        self.response_bytes -= size
+        self.listener.held.add(Holder.RESPONSES, -size)
+        exchange.output = None
+
     def handle_completed(self):
-        """Give the completed requests to the handler."""
+        """Give the completed requests to the handler, as far as possible."""
         completed, self.completed = self.completed, []
         if not completed:
             return
         self.last_used = self.listener.clock.seconds()
         self.pending.extend(completed)
-        for exchange in completed:
-            if not exchange.keep_alive:
-                self.closing = True
-            if not exchange.done:
-                self.handler.handle(exchange)
+        self.undispatched.extend(completed)
+        if not completed[-1].keep_alive:
+            self.closing = True
+        self.dispatch()
+        if not self.can_dispatch() and self.reading:
+            self.reading = False
+            self.transport.pauseProducing()
+
+    def can_dispatch(self) -> bool:
+        """Return whether the next request of the client may be handled."""
+        return (
+            len(self.pending) - len(self.undispatched) < MAX_PIPELINED_REQUESTS
+            and self.unread_bytes <= MAX_UNREAD_BYTES
+        )
+
+    def dispatch(self):
+        """Give requests to the handler while there is room for responses.
+
+        Does nothing if it is called while the handler answers a request.
+        """
+        if self.dispatching:
+            return
+        self.dispatching = True
+        try:
+            while self.undispatched and self.can_dispatch():
+                exchange = self.undispatched.popleft()
+                if exchange.done:
+                    continue
+                if self.listener.held.allows(exchange.held_bytes):
+                    self.handler.handle(exchange)
+                else:
+                    log.notice("request refused, no memory")
+                    exchange.respond(503, EVICTED_RETRY_AFTER)
+        finally:
+            self.dispatching = False
+
+    def resume(self):
+        """Handle further requests after responses have been read."""
+        self.dispatch()
+        if (
+            not self.reading
+            and not self.closing
+            and not self.undispatched
+            and self.can_dispatch()
+        ):
+            self.reading = True
+            self.header_started_at = self.listener.clock.seconds()
+            self.transport.resumeProducing()
+
+    def evict(self):
+        """Release what is held for this client.
+
+        The request being received is refused as not run. If the client does
+        not read its responses, the connection is aborted.
+        """
+        if self.arriving_bytes > self.unread_bytes:
+            self.reject(_Rejected(503, "no memory for the request"))
+        else:
+            self.abort()
+
+    def abort(self):
+        """Abort the connection; its memory is released now."""
+        self.closing = True
+        self.release_buffered_body()
+        self.undispatched.clear()
+        for exchange in self.pending:
+            if exchange.output is not None:
+                self.drop_response(exchange)
+        self.output.release()
+        self.transport.abortConnection()
 
     def reject(self, error: Exception):
         """Answer an invalid request with an error and stop reading."""
@@ -262,17 +401,17 @@
         self.closing = True
         self.release_buffered_body()
         self.pending.append(exchange)
-        exchange.respond(status, b"")
+        exchange.respond(status, EVICTED_RETRY_AFTER if status == 503 else b"")
 
     def flush(self):
         """Write the responses that are ready, in the order of the requests."""
         pending = self.pending
         parts = []
-        close = False
+        written = close = False
         while pending and pending[0].output is not None:
             exchange = pending.popleft()
             head, body = exchange.output
-            exchange.output = None
+            self.drop_response(exchange)
             parts.append(head)
             # Clients consider requests after a response with "Connection:
             # close" unprocessed, so the connection is closed only when none
@@ -286,27 +425,42 @@
                 parts.append(b"Connection: close\r\n\r\n")
             else:
                 parts.append(b"\r\n")
-            parts.append(body)
-        if not parts:
+            if len(body) > SMALL_BYTES:
+                # Joined to the head, it would be copied.
+                self.output.write(b"".join(parts))
+                self.output.write(body)
+                parts = []
+            else:
+                parts.append(body)
+            written = True
+        if not written:
             return
+        if parts:
+            self.output.write(b"".join(parts))
         self.last_used = self.listener.clock.seconds()
-        write_now(self.transport, b"".join(parts))
         if close:
             self.closing = True
             self.transport.loseConnection()
-        elif not self.reading and len(pending) < MAX_PIPELINED_REQUESTS:
-            self.reading = True
-            self.transport.resumeProducing()
+        elif self.undispatched or not self.reading:
+            self.resume()
+        self.listener.held.relieve()
 
     def sweep(self, now: float, limits: ClientLimits):
         """Close the connection if its client is too slow or idle."""
-        if self.closing:
+        unsent = self.output.size
+        if unsent != self.unsent_bytes:
+            self.unsent_bytes = unsent
+            self.last_read = now
+        if unsent and now - self.last_read > UNREAD_TIMEOUT_SECONDS:
+            self.abort()
+        elif self.closing:
             if (
                 not self.pending
-                and now - self.last_used > CLOSE_TIMEOUT_SECONDS
+                and now - max(self.last_used, self.last_read)
+                > CLOSE_TIMEOUT_SECONDS
             ):
-                self.transport.abortConnection()
-        elif self.exchange is not None:
+                self.abort()
+        elif self.exchange is not None and self.reading:
             if (
                 self.exchange.arrived_at is None
                 and now - self.header_started_at
@@ -318,7 +472,7 @@
                 and now > self.body_deadline()
             ):
                 self.reject(_Rejected(408, "the body took too long"))
-        elif not self.pending and (
+        elif not (self.pending or unsent or self.exchange) and (
             now - self.last_used
             > limits.idle_timeout_seconds + IDLE_MARGIN_SECONDS
         ):
@@ -343,8 +497,9 @@
     """Accepts and tracks the connections of clients.
 
     While ``draining``, connections are closed after their last pending
-    response. ``buffered_body_bytes`` is the size of all bodies being received,
-    at most ``max_buffered_bytes``.
+    response. ``buffered_body_bytes`` is the size of all requests being
+    received, at most ``max_buffered_bytes``; ``held`` counts it and what else
+    is held for clients. At most ``max_connections`` are kept.
     """
 
     noisy = False
@@ -356,21 +511,85 @@
         dialect: Dialect,
         handler: ExchangeHandler,
         max_buffered_bytes: int,
+        max_connections: float = inf,
+        held: HeldBytes | None = None,
     ):
         self.clock = clock
+        self.max_connections = max_connections
+        self.held = held or HeldBytes()
+        self.held.on_excess = self.evict_largest
         self.max_buffered_bytes = max_buffered_bytes
         self.dialect = dialect
         self.handler = handler
         self.connections: set[ClientConnection] = set()
         self.draining = False
-        self.buffered_body_bytes = 0
         self.loop = LoopingCall(self.sweep)
         self.loop.clock = clock
 
     def buildProtocol(self, addr):  # noqa: N802 - named by twisted
-        """Return the protocol of a new connection."""
+        """Return the protocol of a new connection, None if there is no room.
+
+        Connections that were idle for the longest time are closed first, then
+        those whose request has been arriving for the longest time.
+        """
+        if len(self.connections) >= self.max_connections:
+            self.evict_idle()
+        if len(self.connections) >= self.max_connections:
+            log.notice("connection refused")
+            return None
         return ClientConnection(listener=self)
 
+    def evict_idle(self):
+        """Abort some connections on which no request is pending."""
+        idle = [
+            connection
+            for connection in self.connections
+            if not connection.pending and not connection.output.size
+        ]
+        for connection in nsmallest(EVICTION_BATCH, idle, key=eviction_order):
+            self.connections.discard(connection)
+            connection.abort()
+
+    @property
+    def buffered_body_bytes(self) -> int:
+        """Size of all requests being received."""
+        return self.held.by_holder[Holder.ARRIVING_REQUESTS]
+
+    def limit_arriving(self):
+        """Refuse the largest requests being received if they hold too much."""
+        if self.buffered_body_bytes > self.max_buffered_bytes:
+            for connection in nlargest(
+                EVICTION_BATCH,
+                self.connections,
+                key=lambda connection: connection.arriving_bytes,
+            ):
+                connection.reject(_Rejected(503, "no memory for the request"))
+                if self.buffered_body_bytes <= self.max_buffered_bytes:
+                    break
+        self.held.relieve()
+
+    def evict_largest(self):
+        """Drop what is held for the clients that hold the most.
+
+        While only the reserved part of the memory is in use, these are clients
+        with large requests or unread responses.
+        """
+        held = self.held
+        smallest = 0 if held.total > held.limit else SMALL_BYTES
+        for connection in nlargest(
+            EVICTION_BATCH, self.connections, key=evictable_bytes
+        ):
+            if not held.exceeded or evictable_bytes(connection) <= smallest:
+                break
+            log.warning(
+                "client dropped",
+                extra={
+                    "arriving": connection.arriving_bytes,
+                    "unread": connection.unread_bytes,
+                },
+            )
+            connection.evict()
+
     def start(self):
         """Start closing connections of slow and idle clients."""
         self.loop.start(SWEEP_INTERVAL_SECONDS, now=False)
@@ -398,6 +617,18 @@
             connection.close_if_idle()
 
 
+def evictable_bytes(connection: ClientConnection) -> int:
+    """Return how many bytes the eviction of a connection releases."""
+    return max(connection.arriving_bytes, connection.unread_bytes)
+
+
+def eviction_order(connection: ClientConnection) -> tuple[bool, float]:
+    """Return the sort key of connections to close for lack of descriptors."""
+    if connection.exchange is None:
+        return False, connection.last_used
+    return True, connection.header_started_at
+
+
 def parse_milliseconds(value: bytes) -> float | None:
     """Return a time in milliseconds, None if invalid or out of range."""
     try:
--- a/flamingosail/proxy/transport/hop.py
+++ b/flamingosail/proxy/transport/hop.py
@@ -349,9 +349,8 @@
                 end = body_start + length
                 if end > size:
                     break
-                messages.append(
-                    decode_untrusted(_decoder, buffer[body_start:end])
-                )
+                with memoryview(buffer)[body_start:end] as frame:
+                    messages.append(decode_untrusted(_decoder, frame))
                 start = end
         except ValueError as error:
             raise CodecError(str(error)) from error
--- a/flamingosail/proxy/transport/hopconnection.py
+++ b/flamingosail/proxy/transport/hopconnection.py
@@ -6,6 +6,7 @@
 
 from flamingosail.errors import CodecError
 from flamingosail.proxy.job import Job
+from flamingosail.proxy.shared.heldbytes import Holder
 from flamingosail.proxy.transport.hop import Call
 from flamingosail.proxy.transport.hop import Cancel
 from flamingosail.proxy.transport.hop import ConfigCopy
@@ -21,9 +22,9 @@
 from flamingosail.proxy.transport.hop import Pong
 from flamingosail.proxy.transport.hop import Reply
 from flamingosail.proxy.transport.hop import Status
+from flamingosail.proxy.transport.output import OutputBuffer
 from flamingosail.sockets import detect_dead_peer
 from flamingosail.sockets import disable_nagle
-from flamingosail.sockets import write_now
 
 __all__ = [
     "HopProtocol",
@@ -38,6 +39,9 @@
 # and still differs: times of facts may have been shifted on their way.
 RESEND_EVIDENCE_SECONDS = 30.0
 
+# The objects of a call, besides its body.
+CALL_OVERHEAD_BYTES = 2048
+
 log = Logger("proxy.peers")
 
 
@@ -62,10 +66,19 @@
         self.announced_version = 0
         self.peer_address = ""
         self.open = False
+        self.held = table.held
+        self.input_bytes = 0
+        self.output: OutputBuffer | None = None
 
     def connectionMade(self):  # noqa: N802 - named by twisted
         """Set the socket options and send a Hello."""
         self.open = True
+        self.output = OutputBuffer(
+            transport=self.transport,
+            held=self.held,
+            holder=Holder.PEER_OUTPUT,
+        )
+        self.table.hops.add(self)
         disable_nagle(self.transport)
         detect_dead_peer(self.transport)
         self.mark_evidence_sent()
@@ -78,18 +91,41 @@
     def send(self, message):
         """Send a message if the connection is open."""
         if self.open:
-            write_now(self.transport, encode_frame(message))
+            self.output.write(encode_frame(message))
 
     def dataReceived(self, data):  # noqa: N802 - named by twisted
         """Handle the messages that are complete."""
         self.mark_alive()
         try:
-            for message in self.frames.feed(data):
+            messages = self.frames.feed(data)
+            self.count_input(len(self.frames.buffer))
+            for message in messages:
                 self.handle_message(message)
         except CodecError as error:
             log.warning("peer sent garbage", extra={"cause": str(error)})
             self.transport.abortConnection()
 
+    def count_input(self, size: int):
+        """Count the part of a message that has arrived.
+
+        If too much is held, the connection with the longest part is aborted,
+        since the rest of a message cannot be refused.
+        """
+        if size != self.input_bytes:
+            added, self.input_bytes = size - self.input_bytes, size
+            self.held.add(Holder.PEER_INPUT, added)
+            if added > 0 and self.held.exceeded:
+                self.held.relieve()
+                if self.held.total > self.held.limit:
+                    self.table.drop_largest_input()
+
+    def release(self):
+        """Release what is held for a connection that has ended."""
+        self.frames.buffer.clear()
+        self.count_input(0)
+        self.output.release()
+        self.table.hops.discard(self)
+
     def unsent_evidence(self) -> Evidence | None:
         """Return the evidence if the other node lacks it, to be sent."""
         elapsed = self.table.clock.seconds() - self.sent_at
@@ -124,12 +160,14 @@
 class InboundConnection(HopProtocol):
     """A connection that another node dialled to call the local server.
 
-    ``jobs`` holds the calls that have not ended, by stream.
+    ``jobs`` holds the calls that have not ended, by stream, and
+    ``held_calls`` their sizes.
     """
 
     def __init__(self, *, table):
         super().__init__(table=table)
         self.jobs: dict[int, Job] = {}
+        self.held_calls: dict[int, int] = {}
         self.failure_domain = ""
 
     @property
@@ -146,9 +184,11 @@
     def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
         """Cancel the calls of the other node."""
         self.open = False
+        self.release()
         self.table.inbound.discard(self)
         jobs, self.jobs = self.jobs, {}
-        for job in jobs.values():
+        for stream, job in jobs.items():
+            self.release_call(stream)
             self.table.gate.cancel(job)
 
     def handle_message(self, message):
@@ -159,6 +199,7 @@
         elif kind is Cancel:
             job = self.jobs.pop(message.stream, None)
             if job is not None:
+                self.release_call(message.stream)
                 self.table.gate.cancel(job)
         elif kind is Ping:
             self.handle_evidence(message)
@@ -216,15 +257,33 @@
             stream=call.stream,
         )
         self.jobs[call.stream] = job
-        self.table.gate.submit(job)
+        size = len(call.body) + CALL_OVERHEAD_BYTES
+        self.held_calls[call.stream] = size
+        self.held.add(Holder.PEER_CALLS, size)
+        if self.held.allows(size):
+            self.table.gate.submit(job)
+        else:
+            reason = "no memory for the request"
+            self.table.gate.fail(job, Outcome.REFUSED, reason)
+
+    def release_call(self, stream: int):
+        """Subtract a call that has ended."""
+        self.held.add(Holder.PEER_CALLS, -self.held_calls.pop(stream, 0))
 
     def send_reply(
         self, job: Job, outcome, status, signature, head, body, reason
     ):
         """Send the result of a call, unless the connection is closed."""
         self.jobs.pop(job.stream, None)
+        self.release_call(job.stream)
         if not self.open:
             return
+        if body and not self.held.allows(len(body)):
+            self.held.relieve()
+            if not self.held.allows(len(body)):
+                outcome, status, signature = Outcome.LOST, 0, b""
+                head = body = b""
+                reason = "no memory for the answer"
         head_index, head = self.sent_headers.pack(head)
         gate = self.table.gate
         self.send(
@@ -276,6 +335,7 @@
     def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
         """End the pending calls; they may have run."""
         self.open = False
+        self.release()
         pending, self.pending = self.pending, {}
         self.peer.disconnected(self)
         for attempt in pending.values():
--- a/flamingosail/proxy/transport/peers.py
+++ b/flamingosail/proxy/transport/peers.py
@@ -20,6 +20,7 @@
 from flamingosail.proxy.policy.readers import ReaderCandidate
 from flamingosail.proxy.shared.configspread import ConfigSource
 from flamingosail.proxy.shared.configspread import ConfigSpread
+from flamingosail.proxy.shared.heldbytes import HeldBytes
 from flamingosail.proxy.shared.loadreports import aggregate_by_service
 from flamingosail.proxy.shared.loadreports import AGGREGATE_INTERVAL_SECONDS
 from flamingosail.proxy.shared.loadreports import LoadReports
@@ -57,8 +58,9 @@
     node, ``config_version`` and ``config_document`` its configuration.
     ``on_reports`` is called with the load reports of all nodes, ``on_config``
     with a configuration document that a peer sent and its ConfigSource.
-    ``inbound`` holds the accepted connections, ``by_service`` the servers that
-    are not absent, ``spread`` the exchange of configurations.
+    ``held`` counts what is held for other nodes, ``hops`` are the open
+    connections to them, ``inbound`` the accepted ones, ``by_service`` the
+    servers that are not absent, ``spread`` the exchange of configurations.
     ``reaches_store`` is false if this node's last call to the metadata store
     failed, ``store_era`` is the era of that store. Near peers are in the
     failure domain of this node, far peers in others.
@@ -81,7 +83,10 @@
         config_version: Callable,
         config_document: Callable,
         on_config: Callable,
+        held: HeldBytes | None = None,
     ):
+        self.held = held or HeldBytes()
+        self.hops: set[HopProtocol] = set()
         self.reactor = reactor
         self.clock = reactor
         self.gate = gate
@@ -151,6 +156,16 @@
             self.last_aggregate_at = now
             self.send_aggregate()
 
+    def drop_largest_input(self):
+        """Abort the connection with the longest incomplete message."""
+        largest = max(self.hops, key=lambda hop: hop.input_bytes)
+        log.warning(
+            "peer message dropped",
+            extra={"peer": largest.peer_address, "bytes": largest.input_bytes},
+        )
+        largest.release()
+        largest.transport.abortConnection()
+
     def is_aggregator(self) -> bool:
         """Return whether this node sends the aggregate of its failure domain.
 
--- a/flamingosail/proxy/transport/serverpool.py
+++ b/flamingosail/proxy/transport/serverpool.py
@@ -10,6 +10,8 @@
 from twisted.internet.protocol import Protocol
 
 from flamingosail.proxy.dialect import Dialect
+from flamingosail.proxy.shared.heldbytes import HeldBytes
+from flamingosail.proxy.shared.heldbytes import Holder
 from flamingosail.proxy.transport.backendserver import ServerConnection
 from flamingosail.proxy.transport.backendserver import ServerRequest
 from flamingosail.settings import Address
@@ -93,7 +95,8 @@
     That one is the least likely to have reached its idle limit. ``connecting``
     is the number of connection attempts in progress, ``connect_count`` that
     of all attempts since the start. ``buffered_bytes`` is the size of the
-    responses that are arriving, at most ``max_buffered_bytes``, and
+    responses that are arriving, at most ``max_buffered_bytes``; ``held``
+    counts it and unsent requests.
     ``invalid_rate`` the last rate limit that was logged as invalid.
     """
 
@@ -104,8 +107,10 @@
         dialect: Dialect,
         address: Address,
         max_buffered_bytes: int,
+        held: HeldBytes | None = None,
     ):
         self.max_buffered_bytes = max_buffered_bytes
+        self.held = held or HeldBytes()
         self.buffered_bytes = 0
         self.invalid_rate = b""
         self.reactor = reactor
@@ -172,6 +177,11 @@
         connection.idle_since = self.reactor.seconds()
         self.idle.append(connection)
 
+    def hold(self, size: int):
+        """Count ``size`` more bytes of arriving responses."""
+        self.buffered_bytes += size
+        self.held.add(Holder.ARRIVING_RESPONSES, size)
+
     def drop_largest_response(self):
         """End the request with the largest response, to free memory.
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -84,19 +84,29 @@
 
     def setUp(self):
         super().setUp()
-        self.cluster = Cluster(layout=self.layout)
+        cluster = self.cluster = self.create_cluster()
         self.addCleanup(self.cluster.stop)
-        cluster = self.cluster
         self.start_store()
         for name, vm in cluster.vms.items():
             # Nodes connect to each other without a proxy between them.
             fields = dict(vm.__dict__, advertised=vm.peers)
             cluster.vms[name] = type(vm)(**fields)
             cluster.start_node(name)
-            calls = 2 if vm.service == "front" else 0
-            cluster.start_server(name, calls=calls, call_host="soak.example")
+        self.start_servers()
         self.wait_until(lambda: self.publish_configuration(1))
 
+    def create_cluster(self) -> Cluster:
+        """Return the cluster without its processes."""
+        return Cluster(layout=self.layout)
+
+    def start_servers(self):
+        """Start the backend servers; those of ``front`` call ``deep``."""
+        for name, vm in self.cluster.vms.items():
+            calls = 2 if vm.service == "front" else 0
+            self.cluster.start_server(
+                name, calls=calls, call_host="soak.example"
+            )
+
     def start_store(self):
         """Start the store where the nodes and the tests reach it."""
         self.cluster.start_store(self.cluster.store_port)
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -516,7 +516,7 @@
         self.assertTrue(self.transport.aborted)
         self.assertEqual([None], [body for body, _ in self.ends])
         self.assertEqual(0, self.pool.buffered_bytes)
-        self.assertEqual([], self.connection.chunks)
+        self.assertEqual(b"", self.connection.body)
 
     def test_a_status_line_without_end(self):
         self.assert_ended(b"HTTP/1.1 200 ")
