Take a response with an invalid status for garbled bytes

Cause: the parser takes any status of three digits. A status below 100 was skipped like an informational response, so that its request waited for its timeout; one from 600 to 999 was passed on to the client.

Ruled out: the status lines 20, 2000, -1 and letters, which the parser itself rejects, and the other readers of responses: loghttp compares the status with the one expected, store and servercheck read through the two places changed.

Change: backendserver.py and httpclient.py end such a request without a response and close the connection.

--- a/flamingosail/httpclient.py
+++ b/flamingosail/httpclient.py
@@ -16,6 +16,7 @@
 
 from flamingosail.errors import FlamingosailError
 from flamingosail.httpwire import header_bytes
+from flamingosail.httpwire import is_valid_status
 from flamingosail.httpwire import MAX_BODY_BYTES
 from flamingosail.httpwire import MAX_HEADER_BYTES
 from flamingosail.httpwire import MAX_MESSAGE_BYTES
@@ -178,6 +179,8 @@
             self.check_header_size()
         self.in_body = True
         self.status = self.parser.get_status_code()
+        if not is_valid_status(self.status):
+            raise BadResponse(f"the status {self.status:03} is none")
         if self.is_head and self.status >= 200:
             self.complete = True
             self.keep_alive = self.parser.should_keep_alive()
--- a/flamingosail/httpwire.py
+++ b/flamingosail/httpwire.py
@@ -25,6 +25,7 @@
     "MAX_HEADER_BYTES",
     "encode_message",
     "header_bytes",
+    "is_valid_status",
     "status_line",
 ]
 
@@ -51,6 +52,14 @@
 _STATUS_LINES[499] = b"HTTP/1.1 499 Client Closed Request\r\n"
 
 
+def is_valid_status(status: int) -> bool:
+    """Return whether a status is one of a response (RFC 9110, section 15).
+
+    The parser also takes other numbers of three digits.
+    """
+    return 100 <= status <= 599
+
+
 def status_line(status: int) -> bytes:
     """Return the status line of a response, with its line end."""
     return _STATUS_LINES.get(status) or b"HTTP/1.1 %d -\r\n" % status
--- a/flamingosail/proxy/transport/backendserver.py
+++ b/flamingosail/proxy/transport/backendserver.py
@@ -11,6 +11,7 @@
 
 from flamingosail.httpclient import PEEK
 from flamingosail.httpheaders import DROPPED_HEADERS
+from flamingosail.httpwire import is_valid_status
 from flamingosail.proxy.shared.heldbytes import Holder
 from flamingosail.proxy.transport.output import OutputBuffer
 from flamingosail.sockets import disable_nagle
@@ -221,7 +222,8 @@
             self.parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade) as error:
             if not self.complete:
-                self.fail(f"not an HTTP/1.1 answer: {error}")
+                cause = error.__context__ or error
+                self.fail(f"not an HTTP/1.1 answer: {cause}")
                 return
             self.surplus_input = True
         if self.complete:
@@ -281,6 +283,8 @@
             return
         self.in_body = True
         self.status = self.parser.get_status_code()
+        if not is_valid_status(self.status):
+            raise ValueError(f"the status {self.status:03} is none")
         request = self.request
         if request is not None and request.is_head and self.status >= 200:
             self.complete = True
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -75,6 +75,10 @@
             b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
             b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
             b"Transfer-Encoding: chunked\r\n\r\n",
+            *(
+                OK.replace(b"200", status)
+                for status in (b"000", b"099", b"600", b"999", b"20", b"2000")
+            ),
             b"HTTP/1.1 101 No\r\nConnection: upgrade\r\nUpgrade: a\r\n\r\n",
             b"HTTP/1.1 200 OK\r\n" + b"A: b\r\n" * 3000 + b"\r\n",
             b"HTTP/1.1 200 OK\r\nA: " + b"a" * 20_000,
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -368,6 +368,53 @@
         self.assertEqual([], self.ends)
 
 
+class StatusTest(ServerConnectionCase):
+    """A server in trouble sends a status line that is none.
+
+    The parser takes any number of digits; a status below 100 was skipped like
+    an informational response, and one above 599 reached the client.
+    """
+
+    STATUSES = ("000", "0", "20", "099", "600", "999", "2000", "-1", "OK", "")
+
+    def end_of(self, data: bytes) -> tuple:
+        """Return body and reason of a request that gets this response."""
+        connection = ServerConnection(pool=self.pool)
+        transport = ClosingTransport()
+        connection.makeConnection(transport)
+        self.ends.clear()
+        connection.send(self.request(b"b"))
+        connection.dataReceived(data)
+        self.assertEqual(1, len(self.ends), data)
+        self.assertTrue(transport.aborted, data)
+        self.assertNotIn(connection, self.pool.idle)
+        return self.ends[0]
+
+    def test_a_status_that_is_none_ends_the_request_without_response(self):
+        for status in self.STATUSES:
+            for head in ("", "HTTP/1.1 103 Early Hints\r\n\r\n"):
+                body, reason = self.end_of(
+                    f"{head}HTTP/1.1 {status} -\r\nx-id: b\r\n"
+                    "Content-Length: 4\r\n\r\nbody".encode()
+                )
+                self.assertIsNone(body, status)
+                self.assertIn("not an HTTP/1.1 answer", reason)
+
+    def test_a_status_that_is_none_to_a_head_request(self):
+        self.connection.request.is_head = True
+        self.connection.dataReceived(b"HTTP/1.1 000 -\r\nx-id: b\r\n\r\n")
+        self.assertEqual(None, self.ends[0][0])
+
+    def test_the_statuses_at_the_bounds_are_responses(self):
+        for status in (200, 599):
+            self.connection.dataReceived(
+                f"HTTP/1.1 {status} -\r\nx-id: b\r\n"
+                "Content-Length: 4\r\n\r\nbody".encode()
+            )
+            self.assertEqual((b"body", ""), self.ends.pop())
+            self.connection.send(self.request(b"b"))
+
+
 class TruncatedHeadTest(ServerConnectionCase):
     """A server stops in the middle of its response's head and closes.
 
