--- a/flamingosail/proxy/transport/client.py
+++ b/flamingosail/proxy/transport/client.py
@@ -127,7 +127,7 @@
             return
         limits = self.handler.limits
         exchange = self.exchange
-        if exchange is not None and not self.body_bytes:
+        if exchange is not None and exchange.arrived_at is None:
             self.header_bytes += len(data)
         self.bodiless_bytes += len(data)
         try:
@@ -231,6 +231,9 @@
         exchange.arrived_at = self.listener.clock.seconds()
         exchange.method = self.parser.get_method()
         size = len(exchange.target) + sum(map(len, exchange.head))
+        # Until here it counted the input, which may include a part of the
+        # body.
+        self.header_bytes = size
         if size > self.handler.limits.max_header_bytes:
             raise _Rejected(431, "the header is too large")
         if self.parser.should_upgrade():
@@ -275,7 +278,7 @@
 
     def count_arriving(self):
         """Count what is held of the request being received."""
-        size = self.body_bytes or self.header_bytes
+        size = self.body_bytes + self.header_bytes
         added = size - self.arriving_bytes
         self.listener.held.add(Holder.ARRIVING_REQUESTS, added)
         self.arriving_bytes = size
@@ -447,11 +450,11 @@
 
     def sweep(self, now: float, limits: ClientLimits):
         """Close the connection if its client is too slow or idle."""
-        unsent = self.output.size
+        unsent = self.output.unsent_bytes
         if unsent != self.unsent_bytes:
             self.unsent_bytes = unsent
             self.last_read = now
-        if unsent and now - self.last_read > UNREAD_TIMEOUT_SECONDS:
+        if self.output.size and now - self.last_read > UNREAD_TIMEOUT_SECONDS:
             self.abort()
         elif self.closing:
             if (
@@ -472,7 +475,7 @@
                 and now > self.body_deadline()
             ):
                 self.reject(_Rejected(408, "the body took too long"))
-        elif not (self.pending or unsent or self.exchange) and (
+        elif not (self.pending or self.output.size or self.exchange) and (
             now - self.last_used
             > limits.idle_timeout_seconds + IDLE_MARGIN_SECONDS
         ):
@@ -497,9 +500,9 @@
     """Accepts and tracks the connections of clients.
 
     While ``draining``, connections are closed after their last pending
-    response. ``buffered_body_bytes`` is the size of all requests being
-    received, at most ``max_buffered_bytes``; ``held`` counts it and what else
-    is held for clients. At most ``max_connections`` are kept.
+    response. ``arriving_bytes`` is the size of all requests being received, at
+    most ``max_buffered_bytes``; ``held`` counts it and what else is held for
+    clients. At most ``max_connections`` are kept.
     """
 
     noisy = False
@@ -552,19 +555,24 @@
 
     @property
     def buffered_body_bytes(self) -> int:
+        """Size of the bodies of all requests being received."""
+        return sum(connection.body_bytes for connection in self.connections)
+
+    @property
+    def arriving_bytes(self) -> int:
         """Size of all requests being received."""
         return self.held.by_holder[Holder.ARRIVING_REQUESTS]
 
     def limit_arriving(self):
         """Refuse the largest requests being received if they hold too much."""
-        if self.buffered_body_bytes > self.max_buffered_bytes:
+        if self.arriving_bytes > self.max_buffered_bytes:
             for connection in nlargest(
                 EVICTION_BATCH,
                 self.connections,
                 key=lambda connection: connection.arriving_bytes,
             ):
                 connection.reject(_Rejected(503, "no memory for the request"))
-                if self.buffered_body_bytes <= self.max_buffered_bytes:
+                if self.arriving_bytes <= self.max_buffered_bytes:
                     break
         self.held.relieve()
 
--- a/flamingosail/proxy/transport/output.py
+++ b/flamingosail/proxy/transport/output.py
@@ -88,6 +88,18 @@
         else:
             self.pieces.append(memoryview(data))
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that the kernel has not accepted.
+
+        Unlike ``size``, it changes with each byte that is sent.
+        """
+        if not self.in_transport:
+            return self.size
+        transport = self.transport
+        unsent = len(transport.dataBuffer) - transport.offset
+        return self.size - self.in_transport + unsent
+
     # Called by the transport.
 
     def resumeProducing(self):  # noqa: N802 - named by twisted
