--- a/flamingosail/proxy/transport/client.py
+++ b/flamingosail/proxy/transport/client.py
@@ -20,6 +20,7 @@
 
 from flamingosail.httpheaders import DROPPED_HEADERS
 from flamingosail.httpwire import CONTINUE
+from flamingosail.proxy.decisions import DecisionLog
 from flamingosail.proxy.dialect import Dialect
 from flamingosail.proxy.exchange import Exchange
 from flamingosail.proxy.exchange import ExchangeHandler
@@ -348,7 +349,7 @@
                 if self.listener.held.allows(exchange.held_bytes):
                     self.handler.handle(exchange)
                 else:
-                    log.notice("request refused, no memory")
+                    self.listener.log_refused(exchange)
                     exchange.respond(503, EVICTED_RETRY_AFTER)
         finally:
             self.dispatching = False
@@ -394,9 +395,9 @@
         if isinstance(cause, _Rejected):
             error = cause
         status = error.status if isinstance(error, _Rejected) else 400
-        log.notice(
+        self.listener.decisions.failure(
             "request rejected",
-            extra={"status": status, "cause": str(error)},
+            lambda: {"status": status, "cause": str(error)},
         )
         exchange = self.exchange or Exchange(connection=self)
         self.exchange = None
@@ -526,6 +527,7 @@
         self.handler = handler
         self.connections: set[ClientConnection] = set()
         self.draining = False
+        self.decisions = DecisionLog(clock=clock, channel="proxy.client")
         self.loop = LoopingCall(self.sweep)
         self.loop.clock = clock
 
@@ -538,7 +540,7 @@
         if len(self.connections) >= self.max_connections:
             self.evict_idle()
         if len(self.connections) >= self.max_connections:
-            log.notice("connection refused")
+            self.decisions.failure("connection refused", dict)
             return None
         return ClientConnection(listener=self)
 
@@ -549,6 +551,9 @@
             for connection in self.connections
             if not connection.pending and not connection.output.size
         ]
+        self.decisions.failure(
+            "idle connections closed", lambda: {"idle": len(idle)}
+        )
         for connection in nsmallest(EVICTION_BATCH, idle, key=eviction_order):
             self.connections.discard(connection)
             connection.abort()
@@ -563,6 +568,16 @@
         """Size of all requests being received."""
         return self.held.by_holder[Holder.ARRIVING_REQUESTS]
 
+    def log_refused(self, exchange: Exchange):
+        """Log that a complete request was refused for lack of memory."""
+        self.decisions.failure(
+            "request refused",
+            lambda: {
+                "request": exchange.request_id.decode("latin-1"),
+                "held": self.held.total,
+            },
+        )
+
     def limit_arriving(self):
         """Refuse the largest requests being received if they hold too much."""
         if self.arriving_bytes > self.max_buffered_bytes:
@@ -589,9 +604,9 @@
         ):
             if not held.exceeded or evictable_bytes(connection) <= smallest:
                 break
-            log.warning(
+            self.decisions.failure(
                 "client dropped",
-                extra={
+                lambda connection=connection: {
                     "arriving": connection.arriving_bytes,
                     "unread": connection.unread_bytes,
                 },
