--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from random import Random
 
 from logbook import Logger
@@ -20,6 +21,8 @@
 from flamingosail.proxy.policy.quarantine import Quarantine
 from flamingosail.proxy.shared.configspread import ConfigSource
 from flamingosail.proxy.shared.freshness import Freshness
+from flamingosail.proxy.shared.heldbytes import HeldBytes
+from flamingosail.proxy.shared.heldbytes import Holder
 from flamingosail.proxy.shared.quotas import QuotaExchange
 from flamingosail.proxy.shared.routes import RouteTable
 from flamingosail.proxy.shared.servers import LocalServer
@@ -47,6 +50,11 @@
 # responses. A message exists up to three times while it is passed on: in
 # pieces, joined, and as a frame that is being written.
 BUFFERED_MEMORY_SHARE = 1 / 8
+# Share of the memory for all that is held for clients, servers and peers.
+HELD_MEMORY_SHARE = 1 / 4
+# Share of the descriptors of sockets for clients; the rest is for the backend
+# server, other nodes and the metadata store.
+CLIENT_SOCKET_SHARE = 3 / 4
 
 log = Logger("proxy.node")
 
@@ -60,8 +68,9 @@
     VM. A server gets no requests ``drain_seconds`` after its deregistration,
     and the process is killed ``stop_seconds`` after SIGTERM. ``retry_ratio``
     and ``retry_minimum`` are those of ``RetryBudget``. ``memory_bytes`` is the
-    memory that the process may use. ``first_start`` is false if a former
-    process may have known the backend server. No request with a key is
+    memory that the process may use, ``max_sockets`` bounds its sockets.
+    ``first_start`` is false if a former process may have known the backend
+    server. No request with a key is
     accepted ``revocation_seconds`` after a configuration has taken that key
     away, None if there is no such bound. ``failure_domains`` are all failure
     domains of the system, among which quotas are divided.
@@ -79,6 +88,7 @@
     retry_ratio: float
     retry_minimum: float
     memory_bytes: int
+    max_sockets: float = inf
     first_start: bool = True
     revocation_seconds: float | None = None
     failure_domains: tuple[str, ...] = ()
@@ -112,6 +122,7 @@
         self.stop_seconds = config.stop_seconds
         self.ports = []
         buffer_limit = int(config.memory_bytes * BUFFERED_MEMORY_SHARE)
+        self.held = HeldBytes(limit=config.memory_bytes * HELD_MEMORY_SHARE)
         self.meter = LoadMeter(clock=reactor)
         self.metrics = NodeMetrics()
         self.quarantine = Quarantine(
@@ -128,6 +139,7 @@
                 dialect=dialect,
                 address=config.server,
                 max_buffered_bytes=buffer_limit,
+                held=self.held,
             ),
             dialect=dialect,
             server=ServerState(
@@ -185,6 +197,7 @@
             on_config=self.apply_config,
             freshness=self.freshness,
             quotas=self.quotas,
+            held=self.held,
         )
         self.forwarder = Forwarder(
             clock=reactor,
@@ -216,6 +229,8 @@
             dialect=dialect,
             handler=self.forwarder,
             max_buffered_bytes=buffer_limit,
+            max_connections=config.max_sockets * CLIENT_SOCKET_SHARE,
+            held=self.held,
         )
 
         self.metrics.gauges.update(
@@ -257,6 +272,13 @@
             run_seconds=lambda: self.gate.server.concurrency.run_seconds,
             buffered_request_bytes=lambda: self.clients.buffered_body_bytes,
             buffered_response_bytes=lambda: self.gate.pool.buffered_bytes,
+            held_bytes_limit=lambda: self.held.limit,
+            **{
+                f"held_bytes_{holder}": lambda holder=holder: (
+                    self.held.by_holder[holder]
+                )
+                for holder in Holder
+            },
             server_connects=lambda: self.gate.pool.connect_count,
             quota_tokens_lent=lambda: self.quotas.lent_tokens,
             quota_tokens_borrowed=lambda: self.quotas.borrowed_tokens,
--- a/flamingosail/proxy/transport/backendserver.py
+++ b/flamingosail/proxy/transport/backendserver.py
@@ -11,10 +11,12 @@
 
 from flamingosail.httpclient import PEEK
 from flamingosail.httpheaders import DROPPED_HEADERS
+from flamingosail.httpwire import is_valid_status
 from flamingosail.proxy.policy.concurrency import parse_server_load
 from flamingosail.proxy.policy.concurrency import ServerLoad
+from flamingosail.proxy.shared.heldbytes import Holder
+from flamingosail.proxy.transport.output import OutputBuffer
 from flamingosail.sockets import disable_nagle
-from flamingosail.sockets import write_now
 
 __all__ = [
     "CONNECTION_LOST",
@@ -154,6 +156,7 @@
         self.size = 0
         self.bodiless_bytes = 0
         self.surplus_input = False
+        self.output: OutputBuffer | None = None
         self.refused_ids: set[bytes] = set()
         self.reset()
 
@@ -164,7 +167,7 @@
         self.has_length = False
         self.status = 0
         self.head: list[bytes] = []
-        self.chunks: list[bytes] = []
+        self.body: bytes | bytearray = b""
         self.response_id = None
         self.signature = b""
         self.not_executed = False
@@ -179,12 +182,20 @@
     def connectionMade(self):  # noqa: N802 - named by twisted
         """Mark the connection as open and disable Nagle's algorithm."""
         self.open = True
+        self.output = OutputBuffer(
+            transport=self.transport,
+            held=self.pool.held,
+            holder=Holder.SERVER_OUTPUT,
+        )
         disable_nagle(self.transport)
 
     def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
         """End the request; a response without length may be complete."""
         self.open = False
         self.pool.remove(self)
+        # The parser refers back to this object; without the cycle its memory
+        # is released at once.
+        self.parser = None
         request = self.request
         if request is None:
             self.release_buffer()
@@ -211,12 +222,13 @@
             return
         self.size += len(data)
         self.bodiless_bytes += len(data)
-        self.pool.buffered_bytes += len(data)
+        self.pool.hold(len(data))
         try:
             self.parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade) as error:
             if not self.complete:
-                self.fail(f"not an HTTP/1.1 answer: {error}")
+                cause = error.__context__ or error
+                self.fail(f"not an HTTP/1.1 answer: {cause}")
                 return
             self.surplus_input = True
         if self.complete:
@@ -277,6 +289,8 @@
             return
         self.in_body = True
         self.status = self.parser.get_status_code()
+        if not is_valid_status(self.status):
+            raise ValueError(f"the status {self.status:03} is none")
         request = self.request
         if request is not None and request.is_head and self.status >= 200:
             self.complete = True
@@ -288,7 +302,13 @@
             self.surplus_input = True
         else:
             self.bodiless_bytes = 0
-            self.chunks.append(data)
+            # A list of the pieces would take some 40 bytes for each of them.
+            if self.body:
+                if type(self.body) is bytes:
+                    self.body = bytearray(self.body)
+                self.body += data
+            else:
+                self.body = data
 
     def on_message_complete(self):
         """Complete the response if it belongs to the request.
@@ -344,17 +364,17 @@
         request.connection = self
         request.written = True
         data, request.data = request.data, b""
-        write_now(self.transport, data)
+        self.output.write(data)
 
     def deliver(self):
         """Finish the request; release the connection if it is reusable."""
         request, self.request = self.request, None
-        chunks, self.chunks = self.chunks, []
+        body, self.body = self.body, b""
         self.release_buffer()
         response = ServerResponse(
             status=self.status,
             head=b"".join(self.head),
-            body=chunks[0] if len(chunks) == 1 else b"".join(chunks),
+            body=bytes(body),
             signature=self.signature,
             not_executed=self.not_executed,
             instance=self.instance,
@@ -362,8 +382,10 @@
             leaving=self.leaving,
             load=self.load,
         )
-        unsent = getattr(self.transport, "dataBuffer", b"") or getattr(
-            self.transport, "_tempDataBuffer", None
+        unsent = (
+            self.output.size
+            or getattr(self.transport, "dataBuffer", b"")
+            or getattr(self.transport, "_tempDataBuffer", None)
         )
         if self.surplus_input or not self.keep_alive or unsent:
             # If a part of the request is still unsent, the server would read
@@ -375,7 +397,7 @@
 
     def release_buffer(self):
         """Subtract the bytes of this connection from the total of the pool."""
-        self.pool.buffered_bytes -= self.size
+        self.pool.hold(-self.size)
         self.size = 0
 
     def fail(self, reason: str):
@@ -387,7 +409,8 @@
     def close(self):
         """Close the connection without flushing it."""
         self.release_buffer()
-        self.chunks = []
+        self.body = b""
+        self.output.release()
         if self.open:
             self.open = False
             self.pool.remove(self)
--- a/flamingosail/proxy/transport/hopconnection.py
+++ b/flamingosail/proxy/transport/hopconnection.py
@@ -8,6 +8,7 @@
 
 from flamingosail.errors import CodecError
 from flamingosail.proxy.job import Job
+from flamingosail.proxy.shared.heldbytes import Holder
 from flamingosail.proxy.transport.callrecovery import FORGET_SECONDS
 from flamingosail.proxy.transport.callrecovery import ReplyFields
 from flamingosail.proxy.transport.callrecovery import SilenceDetector
@@ -23,6 +24,7 @@
 from flamingosail.proxy.transport.hop import FrameBuffer
 from flamingosail.proxy.transport.hop import HeaderTable
 from flamingosail.proxy.transport.hop import Hello
+from flamingosail.proxy.transport.hop import Outcome
 from flamingosail.proxy.transport.hop import Ping
 from flamingosail.proxy.transport.hop import Pong
 from flamingosail.proxy.transport.hop import Probe
@@ -33,11 +35,12 @@
 from flamingosail.proxy.transport.hop import Reply
 from flamingosail.proxy.transport.hop import ResumeCalls
 from flamingosail.proxy.transport.hop import Status
+from flamingosail.proxy.transport.output import OutputBuffer
 from flamingosail.sockets import detect_dead_peer
 from flamingosail.sockets import disable_nagle
-from flamingosail.sockets import write_now
 
 __all__ = [
+    "CANCEL_SECONDS",
     "HopProtocol",
     "InboundConnection",
     "OutboundConnection",
@@ -54,6 +57,9 @@
 # the other node may resume them on another one.
 CANCEL_SECONDS = 0.25
 
+# The objects of a call, besides its body.
+CALL_OVERHEAD_BYTES = 2048
+
 log = Logger("proxy.peers")
 
 
@@ -78,10 +84,19 @@
         self.announced_version = 0
         self.peer_address = ""
         self.open = False
+        self.held = table.held
+        self.input_bytes = 0
+        self.output: OutputBuffer | None = None
 
     def connectionMade(self):  # noqa: N802 - named by twisted
         """Set the socket options and send a Hello."""
         self.open = True
+        self.output = OutputBuffer(
+            transport=self.transport,
+            held=self.held,
+            holder=Holder.PEER_OUTPUT,
+        )
+        self.table.hops.add(self)
         disable_nagle(self.transport)
         detect_dead_peer(self.transport)
         self.mark_evidence_sent()
@@ -94,18 +109,41 @@
     def send(self, message):
         """Send a message if the connection is open."""
         if self.open:
-            write_now(self.transport, encode_frame(message))
+            self.output.write(encode_frame(message))
 
     def dataReceived(self, data):  # noqa: N802 - named by twisted
         """Handle the messages that are complete."""
         self.mark_alive()
         try:
-            for message in self.frames.feed(data):
+            messages = self.frames.feed(data)
+            self.count_input(len(self.frames.buffer))
+            for message in messages:
                 self.handle_message(message)
         except CodecError as error:
             log.warning("peer sent garbage", extra={"cause": str(error)})
             self.transport.abortConnection()
 
+    def count_input(self, size: int):
+        """Count the part of a message that has arrived.
+
+        If too much is held, the connection with the longest part is aborted,
+        since the rest of a message cannot be refused.
+        """
+        if size != self.input_bytes:
+            added, self.input_bytes = size - self.input_bytes, size
+            self.held.add(Holder.PEER_INPUT, added)
+            if added > 0 and self.held.exceeded:
+                self.held.relieve()
+                if self.held.total > self.held.limit:
+                    self.table.drop_largest_input()
+
+    def release(self):
+        """Release what is held for a connection that has ended."""
+        self.frames.buffer.clear()
+        self.count_input(0)
+        self.output.release()
+        self.table.hops.discard(self)
+
     def unsent_evidence(self) -> Evidence | None:
         """Return the evidence if the other node lacks it, to be sent."""
         elapsed = self.table.clock.seconds() - self.sent_at
@@ -140,15 +178,17 @@
 class InboundConnection(HopProtocol):
     """A connection that another node dialled to call the local server.
 
-    ``jobs`` holds the calls that have not ended, by stream, ``replies`` those
-    that may not have arrived. ``highest_stream`` is that of the last call;
-    streams increase. ``token`` names the connection in ``hop.ResumeCalls``.
-    Once ``replaced`` by another connection, nothing further is read.
+    ``jobs`` holds the calls that have not ended, by stream, ``held_calls``
+    their sizes, and ``replies`` the replies that may not have arrived.
+    ``highest_stream`` is that of the last call; streams increase. ``token``
+    names the connection in ``hop.ResumeCalls``. Once ``replaced`` by another
+    connection, nothing further is read.
     """
 
     def __init__(self, *, table):
         super().__init__(table=table)
         self.jobs: dict[int, Job] = {}
+        self.held_calls: dict[int, int] = {}
         self.failure_domain = ""
         self.token = 0
         self.highest_stream = 0
@@ -169,6 +209,7 @@
     def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
         """Cancel the calls of the other node if it does not resume them."""
         self.open = False
+        self.release()
         self.table.inbound.discard(self)
         clock = self.table.clock
         if self.jobs:
@@ -180,11 +221,13 @@
         """Drop what was kept for a node that asks about its calls."""
         if self.table.inbound_by_token.get(self.token) is self:
             del self.table.inbound_by_token[self.token]
+        self.confirm_replies(self.replies.sent)
 
     def cancel_jobs(self):
         """Cancel the calls that have not been resumed elsewhere."""
         jobs, self.jobs = self.jobs, {}
-        for job in jobs.values():
+        for stream, job in jobs.items():
+            self.release_call(stream)
             self.table.gate.cancel(job)
 
     def dataReceived(self, data):  # noqa: N802 - named by twisted
@@ -202,14 +245,15 @@
         elif kind is Cancel:
             job = self.jobs.pop(message.stream, None)
             if job is not None:
+                self.release_call(message.stream)
                 self.table.gate.cancel(job)
         elif kind is Probe:
-            self.replies.confirm(message.replies_received)
+            self.confirm_replies(message.replies_received)
             self.send(ProbeReply())
         elif kind is ResumeCalls:
             self.resume_calls(message)
         elif kind is Ping:
-            self.replies.confirm(message.replies_received)
+            self.confirm_replies(message.replies_received)
             self.handle_evidence(message)
             gate = self.table.gate
             self.send(
@@ -279,7 +323,18 @@
         )
         self.jobs[call.stream] = job
         self.highest_stream = call.stream
-        self.table.gate.submit(job)
+        size = len(call.body) + CALL_OVERHEAD_BYTES
+        self.held_calls[call.stream] = size
+        self.held.add(Holder.PEER_CALLS, size)
+        if self.held.allows(size):
+            self.table.gate.submit(job)
+        else:
+            reason = "no memory for the request"
+            self.table.gate.fail(job, Outcome.REFUSED, reason)
+
+    def release_call(self, stream: int):
+        """Subtract a call that has ended."""
+        self.held.add(Holder.PEER_CALLS, -self.held_calls.pop(stream, 0))
 
     def resume_calls(self, message: ResumeCalls):
         """Take over the calls of a connection that is silent or closed.
@@ -299,6 +354,7 @@
             if job is not None:
                 job.on_end = self.send_reply
                 self.jobs[stream] = job
+                self.held_calls[stream] = former.held_calls.pop(stream, 0)
                 resumed.append(stream)
             elif stream in replies:
                 resumed.append(stream)
@@ -329,12 +385,32 @@
     ):
         """Send the result of a call, unless the connection is closed."""
         self.jobs.pop(job.stream, None)
+        self.release_call(job.stream)
         fields = ReplyFields(outcome, status, signature, head, body, reason)
+        if self.open and not self.has_memory(len(body)):
+            fields = ReplyFields(
+                Outcome.LOST, 0, b"", b"", b"", "no memory for the answer"
+            )
         self.send_fields(job.stream, fields)
 
+    def has_memory(self, size: int) -> bool:
+        """Return whether a body may be held, after others were released."""
+        if not size or self.held.allows(size):
+            return True
+        self.held.relieve()
+        return self.held.allows(size)
+
+    def confirm_replies(self, received: int):
+        """Drop the replies that the other node has received."""
+        before = self.replies.kept_bytes
+        self.replies.confirm(received)
+        self.held.add(Holder.PEER_REPLIES, self.replies.kept_bytes - before)
+
     def send_fields(self, stream: int, fields: ReplyFields):
         """Send the result of a call and keep it until it is confirmed."""
+        before = self.replies.kept_bytes
         self.replies.add(stream, fields)
+        self.held.add(Holder.PEER_REPLIES, self.replies.kept_bytes - before)
         if not self.open:
             return
         head_index, head = self.sent_headers.pack(fields.head)
@@ -410,6 +486,7 @@
     def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
         """Ask the other node for the pending calls on a new connection."""
         self.open = False
+        self.release()
         self.peer.disconnected(self)
 
     def abort(self):
--- a/flamingosail/proxy/transport/peers.py
+++ b/flamingosail/proxy/transport/peers.py
@@ -21,6 +21,7 @@
 from flamingosail.proxy.shared.configspread import ConfigSource
 from flamingosail.proxy.shared.configspread import ConfigSpread
 from flamingosail.proxy.shared.freshness import Freshness
+from flamingosail.proxy.shared.heldbytes import HeldBytes
 from flamingosail.proxy.shared.loadreports import aggregate_by_service
 from flamingosail.proxy.shared.loadreports import AGGREGATE_INTERVAL_SECONDS
 from flamingosail.proxy.shared.loadreports import LoadReports
@@ -61,13 +62,14 @@
     node, ``config_version`` and ``config_document`` its configuration.
     ``on_reports`` is called with the load reports of all nodes, ``on_config``
     with a configuration document that a peer sent and its ConfigSource.
-    ``inbound`` holds the accepted connections, ``inbound_by_token`` also those
-    that closed lately, ``by_service`` the servers that
-    are not absent, ``spread`` the exchange of configurations.
-    ``quotas`` exchanges tokens of tenants. ``reaches_store`` is false if this
-    node's last call to the metadata store failed, ``store_era`` is the era of
-    that store, ``freshness`` the lease on the configuration. Near peers are in
-    the failure domain of this node, far peers in others.
+    ``held`` counts what is held for other nodes, ``hops`` are the open
+    connections to them, ``inbound`` the accepted ones, ``inbound_by_token``
+    also those that closed lately, ``by_service`` the servers that are not
+    absent, ``spread`` the exchange of configurations. ``quotas`` exchanges
+    tokens of tenants. ``reaches_store`` is false if this node's last call to
+    the metadata store failed, ``store_era`` is the era of that store,
+    ``freshness`` the lease on the configuration. Near peers are in the failure
+    domain of this node, far peers in others.
     """
 
     noisy = False
@@ -89,7 +91,10 @@
         on_config: Callable,
         quotas: QuotaExchange,
         freshness: Freshness | None = None,
+        held: HeldBytes | None = None,
     ):
+        self.held = held or HeldBytes()
+        self.hops: set[HopProtocol] = set()
         self.reactor = reactor
         self.clock = reactor
         self.random = random
@@ -208,6 +213,16 @@
             if peers:
                 self.random.choice(peers).connection.ping(now)
 
+    def drop_largest_input(self):
+        """Abort the connection with the longest incomplete message."""
+        largest = max(self.hops, key=lambda hop: hop.input_bytes)
+        log.warning(
+            "peer message dropped",
+            extra={"peer": largest.peer_address, "bytes": largest.input_bytes},
+        )
+        largest.release()
+        largest.transport.abortConnection()
+
     def is_aggregator(self) -> bool:
         """Return whether this node sends the aggregate of its failure domain.
 
--- a/tests/test_proxy_callrecovery.py
+++ b/tests/test_proxy_callrecovery.py
@@ -28,6 +28,7 @@
 from tests.proxyfakes import ClosingTransport
 from tests.proxyfakes import FakePool
 from tests.proxyfakes import make_gate
+from tests.proxyfakes import make_quotas
 from tests.proxyfakes import make_report
 from tests.proxyfakes import make_response
 
@@ -114,6 +115,7 @@
             config_version=lambda: 1,
             config_document=lambda: b"",
             on_config=lambda document, source: None,
+            quotas=make_quotas(self.clock),
         )
 
     def accept(self):
