Ask likely readers for a proof of the configuration

In a model of 30 nodes a failure domain that the store refuses had proofs of up to 2.18 s: the random peer that was asked had an old one itself, and a proof could pass the limit just after a look at it.

--- a/flamingosail/proxy/policy/readers.py
+++ b/flamingosail/proxy/policy/readers.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-__all__ = ["ReaderCandidate", "is_reader"]
+__all__ = ["READERS_PER_DOMAIN", "ReaderCandidate", "is_reader"]
 
 # Readers of a failure domain that reach the store; the second covers the time
 # until the failure of the first is noticed.
--- a/flamingosail/proxy/shared/freshness.py
+++ b/flamingosail/proxy/shared/freshness.py
@@ -22,8 +22,9 @@
 # Part of the time to revoke a key that is left to differences between the
 # rates of the VMs' clocks.
 MARGIN_FRACTION = 0.02
-# A proof older than this share of the lease is renewed from other nodes.
-RENEWAL_SHARE = 0.3
+# A proof older than this share of the lease is renewed from other nodes. Nodes
+# look for that twice a second.
+RENEWAL_SHARE = 0.25
 
 log = Logger("proxy.freshness")
 
--- a/flamingosail/proxy/transport/peers.py
+++ b/flamingosail/proxy/transport/peers.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from heapq import nsmallest
 from random import Random
 
 from logbook import Logger
@@ -18,6 +19,7 @@
 from flamingosail.proxy.policy.overload import LoadReport
 from flamingosail.proxy.policy.readers import is_reader
 from flamingosail.proxy.policy.readers import ReaderCandidate
+from flamingosail.proxy.policy.readers import READERS_PER_DOMAIN
 from flamingosail.proxy.shared.configspread import ConfigSource
 from flamingosail.proxy.shared.configspread import ConfigSpread
 from flamingosail.proxy.shared.freshness import Freshness
@@ -45,6 +47,9 @@
 # at most IDLE_PING_SECONDS for far peers without recent calls.
 PEERS_AT_BASIC_INTERVAL = 16
 IDLE_PING_SECONDS = 4.0
+# Far readers that are asked at a time for a proof of the configuration: the
+# proof of one may be as old as its two last polls.
+FAR_PROOFS = 2
 # Upper bound of the age of a far server's load if it is pinged each second.
 MAX_PINGED_LOAD_AGE_SECONDS = 1.2
 
@@ -160,7 +165,7 @@
             self.send_aggregate()
 
     def renew_lease(self):
-        """Ping a near and a far peer if this node's proof is getting old.
+        """Ping some readers if this node's proof is getting old.
 
         The regular pings go to all peers in the same tick, and to far peers
         some seconds apart.
@@ -169,14 +174,30 @@
         if not self.freshness.needs_renewal():
             return
         now = self.clock.seconds()
-        for near in (True, False):
-            peers = [
-                peer
-                for peer in self.peers.values()
-                if peer.near is near and peer.usable
-            ]
-            if peers:
-                self.random.choice(peers).connection.ping(now)
+        for near, count in ((True, 1), (False, FAR_PROOFS)):
+            readers = self.likely_readers(near=near)
+            for peer in self.random.sample(readers, min(count, len(readers))):
+                peer.connection.ping(now)
+
+    def likely_readers(self, *, near: bool) -> list[Peer]:
+        """Return the peers that seem to read the store, near or far ones."""
+        by_domain: dict[str, list[Peer]] = {}
+        for peer in self.peers.values():
+            if peer.near is near and peer.usable:
+                by_domain.setdefault(peer.failure_domain, []).append(peer)
+        return [
+            peer
+            for peers in by_domain.values()
+            for peer in nsmallest(
+                READERS_PER_DOMAIN,
+                peers,
+                key=lambda peer: (
+                    not peer.reaches_store,
+                    peer.address.host,
+                    peer.address.port,
+                ),
+            )
+        ]
 
     def is_aggregator(self) -> bool:
         """Return whether this node sends the aggregate of its failure domain.
--- a/tests/test_proxy_freshness.py
+++ b/tests/test_proxy_freshness.py
@@ -358,6 +358,20 @@
         for host in self.reactor.nodes.keys() - self.reactor.cut:
             self.assertLess(ages[host], lease)
 
+    def test_the_lease_is_back_soon_after_the_store(self):
+        """Guards against keyed requests refused while knowledge is at hand.
+
+        A reader asks a store that was down again within 1.2 s; the others get
+        its proof with the next tick.
+        """
+        self.refused |= self.reactor.nodes.keys()
+        self.advance(8.0)
+        leases = [node.freshness for node in self.reactor.nodes.values()]
+        self.assertFalse(any(lease.is_current() for lease in leases))
+        self.refused.clear()
+        self.advance(1.2 + 0.6)
+        self.assertTrue(all(lease.is_current() for lease in leases))
+
     def test_a_node_that_is_cut_off_goes_on_and_stops_in_time(self):
         self.reactor.cut.add("10.2.0.11")
         self.refused.add("10.2.0.11")
