--- a/tests/test_proxy_heldbytes.py
+++ b/tests/test_proxy_heldbytes.py
@@ -339,7 +339,7 @@
         self.assertLessEqual(self.node.held.total, self.node.held.limit)
         connection.connectionLost(Failure(ConnectionDone()))
         # Until then the other node may resume its calls.
-        self.clock.advance(CANCEL_SECONDS)
+        self.node.reactor.advance(CANCEL_SECONDS)
         self.assertEqual(0, self.node.held.total)
 
     def test_the_longest_incomplete_message_is_dropped(self):
