Learn limits at all servers of a deployment that shares machines

A limit was learnt only beside servers that state the slowness of their machine. Nodes tell each other now that servers of the deployment share machines.

A cold server keeps its limit. Failures count as much as crossing at a fifth of the calls, as they did before run times were known, so that large bodies don't stay at a server that loses them.

--- a/flamingosail/proxy/policy/balance.py
+++ b/flamingosail/proxy/policy/balance.py
@@ -65,9 +65,9 @@
 # slower for spells that end before other nodes have heard of them.
 NORMAL_MEAN_SLOWNESS = 1.75
 SLOW_SERVER_WEIGHT = 0.3
-# Cost at a failure rate of 1: a retry elsewhere, and the loss of a request
-# that may not be repeated.
-FAILURE_WEIGHT = 2.0
+# A server is worth as much as crossing if this share of its calls fails: a
+# failure costs a retry, or a request that may not be repeated.
+CROSSING_FAILURE_RATE = 0.2
 COLD_START_WEIGHT = 0.4
 # A request rather waits in its own failure domain for this share of its slack,
 # and no longer than this many run times, so that the queues stay short.
@@ -142,12 +142,15 @@
             self.sample(servers.same_domain, SAME_DOMAIN_CANDIDATES),
             excluded,
             now,
+            crossing,
         )
         if (
             cost >= crossing
             and len(servers.same_domain) > SAME_DOMAIN_CANDIDATES
         ):
-            best, cost = self.find_cheapest(servers.same_domain, excluded, now)
+            best, cost = self.find_cheapest(
+                servers.same_domain, excluded, now, crossing
+            )
         if cost >= crossing:
             other, other_cost = self.find_cheapest(
                 self.sample(servers.other_domains, OTHER_DOMAINS_CANDIDATES),
@@ -158,7 +161,9 @@
             if other_cost < cost:
                 best = other
         if best is None:
-            best, _ = self.find_cheapest(servers.other_domains, excluded, now)
+            best, _ = self.find_cheapest(
+                servers.other_domains, excluded, now, crossing
+            )
         return best
 
     def crossing_cost(
@@ -198,20 +203,30 @@
                 or server in excluded
             ):
                 continue
-            cost = self.cost(server, now)
+            cost = self.cost(server, now, crossing)
             if server.failure_domain != self.failure_domain:
                 cost += crossing
             if cost < best_cost and server.usable:
                 best, best_cost = server, cost
         return best, best_cost
 
-    def cost(self, server: RemoteServer, now: float) -> float:
+    def cost(
+        self,
+        server: RemoteServer,
+        now: float,
+        crossing: float = CROSS_DOMAIN_COST_SECONDS,
+    ) -> float:
         """Return the cost of choosing a server, in seconds.
 
         The cost of another failure domain is not included.
         """
         if server.run_seconds:
-            return self.run_cost(server, now) * server.run_seconds
+            failures = server.failure_rate / CROSSING_FAILURE_RATE
+            return self.run_cost(
+                server, now
+            ) * server.run_seconds + failures * max(
+                crossing, MAX_WAIT_RUNS * server.run_seconds
+            )
         load = server.load() + self.random.random()
         capacity = server.capacity
         waiting = max(0.0, load + 1 - USABLE_SLOT_SHARE * capacity)
@@ -242,7 +257,6 @@
         cost = ahead / capacity + (load / capacity) * UTILIZATION_WEIGHT
         cost += (slowness - 1.0) * RUN_WEIGHT
         cost += max(0.0, slowness - NORMAL_MEAN_SLOWNESS) * SLOW_SERVER_WEIGHT
-        cost += server.failure_rate * FAILURE_WEIGHT
         if server.state != "ready":
             cost += DRAINING_COST_SECONDS / server.run_seconds
         if server.cold_until > now:
--- a/flamingosail/proxy/policy/concurrency.py
+++ b/flamingosail/proxy/policy/concurrency.py
@@ -56,8 +56,6 @@
 CONCURRENCY_WEIGHT = 0.9
 # Lower bound of the limit, so that the upper levels can be measured again.
 MIN_LIMIT_SHARE = 0.25
-# Limit of a server that has just started; it rises until its cold start ends.
-COLD_START_SHARE = 0.5
 # The mean run time of a route moves more slowly than the measurements decay;
 # otherwise it would follow the changes that it is to show.
 ROUTE_DECAY_SECONDS = 30.0
@@ -220,8 +218,9 @@
 class ConcurrencyLimit:
     """The number of requests that a server takes well at a time.
 
-    ``enabled`` is set by the first response in which the server says that its
-    machine is shared; until then the limit is the number of slots. Levels
+    ``enabled`` is set once a server of the deployment has said that it shares
+    its machine, this one or, as another node tells, another one. Until then
+    the limit is the number of slots. Levels
     without recent requests are taken to be as good as the others, so that a
     limit which is used up rises again. ``run_seconds`` is the mean time of a
     request at the server, including its child calls; 0 if it is not known.
@@ -236,14 +235,15 @@
     def reset(self, *, cold_until: float = 0.0):
         """Forget the measurements, because another server has started.
 
-        ``cold_until`` is the time until which it is slow.
+        ``cold_until`` is the time until which it is slow at any concurrency;
+        run times until then teach nothing.
         """
         now = self.clock.seconds()
         self.levels = [Level() for _ in range(LEVELS)]
         self.routes: dict[int, RouteMean] = {}
         self.share = 1.0
         self.run_seconds = 0.0
-        self.started_at = self.decayed_at = now
+        self.decayed_at = now
         self.cold_until = cold_until
         self.next_step_at = now + STEP_SECONDS
         self.used_up = False
@@ -262,13 +262,6 @@
         now = self.clock.seconds()
         if now < self.probe_until:
             share *= self.probe_share
-        if now < self.cold_until:
-            elapsed = (now - self.started_at) / (
-                self.cold_until - self.started_at
-            )
-            share = min(
-                share, COLD_START_SHARE + (1.0 - COLD_START_SHARE) * elapsed
-            )
         return max(1, min(slots, int(slots * share + 0.5)))
 
     def record_load(self, load: ServerLoad):
