--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -208,6 +208,21 @@
         sent = self.run_for(2.0, peer)[peer]
         self.assertEqual(2, sent[-1].store_era)
 
+    def test_one_shared_machine_has_all_nodes_learn_limits(self):
+        """Some services of a deployment do not state the fourth figure."""
+        peer = self.connect("10.0.0.1", "fd-b")
+        limit = self.table.gate.server.concurrency
+        self.receive(peer, Pong(0, 0, 10, 1))
+        self.assertFalse(limit.enabled)
+        pong = Pong(0, 0, 10, 1, run_ms=140, learns_limits=True)
+        self.receive(peer, pong)
+        self.assertTrue(limit.enabled)
+        self.assertEqual(0.14, peer.run_seconds)
+        # The node was replaced by one of an older release.
+        self.receive(peer, Pong(0, 0, 10, 1))
+        self.assertEqual(0.0, peer.run_seconds)
+        self.assertEqual(10, peer.capacity)
+
     def test_a_crash_is_announced_to_all_peers_at_once(self):
         """Guards against nodes that send on what has crashed a server."""
         near = self.connect("10.0.0.1", "fd-a")
