--- a/flamingosail/proxy/transport/client.py
+++ b/flamingosail/proxy/transport/client.py
@@ -196,7 +196,8 @@
                 len(value) > MAX_CREDENTIAL_BYTES
             ):
                 value = b""
-            exchange.credential = value
+            # The parser leaves white space at the end of a value.
+            exchange.credential = value.strip()
             return
         elif lower in (
             dialect.expected_instance,
--- a/tests/test_proxy_access.py
+++ b/tests/test_proxy_access.py
@@ -190,7 +190,7 @@
 
     def test_the_key_is_taken_from_the_header_in_any_case(self):
         for name in ("x-key", "X-Key", "X-KEY"):
-            exchange = self.received(f"{name}: k1\r\nX-Tenant: forged\r\n")
+            exchange = self.received(f"{name}:  k1 \t\r\nX-Tenant: forged\r\n")
             self.assertEqual(b"k1", exchange.credential)
             self.assertEqual([b"Host", b": ", b"h", b"\r\n"], exchange.head)
 
