--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -86,7 +86,7 @@
 
     ``parse_config`` turns a configuration document into a RouteTable and
     raises ValueError if the document is invalid. ``document`` is the
-    configuration in force. ``lease_seconds`` is the clock of ``Freshness``,
+    configuration in force. ``lease_clock`` is the clock of ``Freshness``,
     the reactor's if None.
     """
 
@@ -98,7 +98,7 @@
         config: NodeConfig,
         dialect: Dialect,
         parse_config: Callable[[bytes], RouteTable],
-        lease_seconds: Callable[[], float] | None = None,
+        lease_clock: Callable[[], float] | None = None,
     ):
         self.reactor = reactor
         self.config = config
@@ -147,7 +147,7 @@
                 on_leaving=self.gate.server.accept_leaving,
             )
         self.freshness = Freshness(
-            seconds=lease_seconds or reactor.seconds,
+            seconds=lease_clock or reactor.seconds,
             config_version=self.config_version,
             revocation_seconds=config.revocation_seconds,
         )
--- a/flamingosail/proxy/transport/client.py
+++ b/flamingosail/proxy/transport/client.py
@@ -42,7 +42,7 @@
 # take this many times the header limit; some headers are not counted there.
 MAX_HEADER_OVERHEAD = 4
 MAX_REQUEST_ID_BYTES = 256
-# No client account has a longer key.
+# A longer key is not looked up.
 MAX_CREDENTIAL_BYTES = 4096
 LOOPBACK_PREFIX = "127."
 
