Lend tokens to requests that wait in another failure domain first

A holder kept the demand of a quarter of a second for its own domain, also from requests that waited elsewhere. After a refusal a node collects the requests of the account for 50 ms before it asks again.

--- a/flamingosail/proxy/policy/quota.py
+++ b/flamingosail/proxy/policy/quota.py
@@ -52,7 +52,8 @@
 # burst of less than a token in each domain can still be spent. It is half of
 # what the rule allows beyond its window.
 SPARE_TOKENS = 10.0
-# A holder keeps the demand of its own failure domain over this time.
+# A holder keeps the demand of its own failure domain over this time, except
+# for requests that wait elsewhere.
 RESERVE_SECONDS = 0.25
 MAX_RETRY_AFTER_SECONDS = 1.0
 MIN_RETRY_AFTER_SECONDS = 0.02
@@ -368,11 +369,18 @@
         bucket.tokens -= given
         return given
 
-    def lend(self, tenant: Tenant, wanted: float, now: float) -> float:
-        """Take what another failure domain may have, at most ``wanted``."""
+    def lend(
+        self, tenant: Tenant, need: float, surplus: float, now: float
+    ) -> float:
+        """Take tokens for another failure domain.
+
+        Requests wait for ``need`` there; a surplus is only given from what
+        this domain does not need soon itself.
+        """
         bucket = self.bucket(tenant, now)
+        given = min(need, bucket.tokens)
         kept = bucket.demand.per_second(now) * RESERVE_SECONDS
-        given = min(wanted, max(0.0, bucket.tokens - kept))
+        given += min(surplus, max(0.0, bucket.tokens - given - kept))
         bucket.tokens -= given
         return given
 
--- a/flamingosail/proxy/shared/quotas.py
+++ b/flamingosail/proxy/shared/quotas.py
@@ -42,6 +42,10 @@
 # A holder that got nothing from other failure domains waits this long before
 # it borrows again.
 BORROW_PAUSE_SECONDS = 0.1
+# After a refusal, a first node collects the requests of the tenant for this
+# long before it asks again, so that one tenant far over its quota does not
+# occupy its holder.
+REFUSED_PAUSE_SECONDS = 0.05
 # A node that starts does not lend its share before it knows the other nodes.
 START_SECONDS = 3.0
 FIRST_START_SECONDS = 1.0
@@ -75,7 +79,8 @@
 
     ``asked`` is how many of the waiting requests the ask in progress is for;
     0 if none is. ``domains`` are the other failure domains that are left to
-    ask. ``retry_after`` is None until a holder has answered.
+    ask. ``retry_after`` is None until a holder has answered. The next ask is
+    sent at ``ask_after`` at the earliest.
     """
 
     tenant: Tenant
@@ -85,6 +90,7 @@
     asked_at: float = 0.0
     domains: list[str] = field(default_factory=list)
     retry_after: float | None = None
+    ask_after: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -320,8 +326,16 @@
         return self.choice.choose(self.views.current, tenant.name)
 
     def ask_soon(self, draws: TenantDraws):
-        """Ask for the waiting requests at the end of this turn."""
+        """Ask for the waiting requests, at the end of this turn if allowed."""
         draws.asked = -1
+        delay = draws.ask_after - self.clock.seconds()
+        if delay > 0:
+            self.clock.callLater(delay, self.add_ask, draws)
+        else:
+            self.add_ask(draws)
+
+    def add_ask(self, draws: TenantDraws):
+        """Ask for the waiting requests at the end of this turn."""
         self.asking.append(draws)
         self.flush_soon()
 
@@ -425,6 +439,8 @@
         refused = min(draws.asked, len(draws.waiting))
         requests = [draws.waiting.popleft() for _ in range(refused)]
         draws.asked = 0
+        if refused:
+            draws.ask_after = now + REFUSED_PAUSE_SECONDS
         if draws.waiting:
             self.ask_soon(draws)
         interval = self.book.domains / draws.tenant.rate
@@ -515,7 +531,7 @@
             elif not tenant.rate:
                 answer(number, need, 0.0)
             elif message.borrow:
-                tokens = self.book.lend(tenant, need, now)
+                tokens = self.book.lend(tenant, need, surplus, now)
                 self.lent_tokens += tokens
                 answer(number, tokens, MAX_RETRY_AFTER_SECONDS)
             else:
@@ -586,16 +602,16 @@
         if not holders:
             return None
         loan = Loan(tenant=tenant)
-        wanted = missing + self.book.shortage(tenant, now)
+        ahead = self.book.shortage(tenant, now) / len(holders)
         # Each is asked for a little more than its part, so that another one
         # may have less.
-        part = min(wanted, wanted / len(holders) + 1.0)
+        part = min(missing, missing / len(holders) + 1.0)
         for holder in holders:
             loan.unanswered += self.ask(
                 holder,
                 tenant,
                 part,
-                0.0,
+                ahead,
                 partial(self.handle_loan, loan),
                 now,
                 borrow=True,
