--- a/tests/test_proxy_quota.py
+++ b/tests/test_proxy_quota.py
@@ -301,6 +301,31 @@
         elif name == "duplicate":
             cluster.duplication = arguments[0]
 
+    @settings(max_examples=100, deadline=None)
+    @given(events)
+    def test_no_share_is_lent_to_two_holders(self, order):
+        """Failure: nodes that reach different others choose two holders.
+
+        A share that counted at both would be minted twice.
+        """
+        cluster = Cluster(
+            domains={"a": 5},
+            tenants=[make_tenant(200, 100, f"t{i}") for i in range(5)],
+        )
+        cluster.advance(START_SECONDS)
+        for event in order:
+            if event[0] not in ("spend", "play"):
+                self.apply(cluster, *event)
+            for _ in range(4):
+                cluster.advance(0.15)
+                now = cluster.clock.seconds()
+                for name in cluster.tenants:
+                    total = sum(
+                        node.quotas.book.share(name, now)
+                        for node in cluster.nodes
+                    )
+                    self.assertLessEqual(total, 1.0 + 1e-9)
+
     @settings(max_examples=150, deadline=None)
     @given(events)
     def test_no_order_of_failures_exceeds_the_quota(self, order):
