--- a/flamingosail/proxy/policy/balance.py
+++ b/flamingosail/proxy/policy/balance.py
@@ -73,6 +73,8 @@
 # and no longer than this many run times, so that the queues stay short.
 SLACK_SHARE = 0.2
 MAX_WAIT_RUNS = 0.5
+# A late request does not cross for less: there it would come late, too.
+MIN_WAIT_RUNS = 0.25
 # One with a large body waits longer. From LARGE_BODY_BYTES on it waits for
 # LARGE_BODY_SLACK_SHARE; such requests are too few to cause long queues.
 LARGE_BODY_BYTES = 32_768
@@ -97,7 +99,10 @@
         ``run_seconds`` is the mean run time at the servers.
         """
         slack = max(0.0, self.slack_seconds - run_seconds)
-        wait = min(SLACK_SHARE * slack, MAX_WAIT_RUNS * run_seconds)
+        wait = max(
+            MIN_WAIT_RUNS * run_seconds,
+            min(SLACK_SHARE * slack, MAX_WAIT_RUNS * run_seconds),
+        )
         longest = LARGE_BODY_SLACK_SHARE * slack
         size = min(1.0, self.body_bytes / LARGE_BODY_BYTES)
         return wait + size * max(0.0, longest - wait)
--- a/tests/test_proxy_uneven_demand.py
+++ b/tests/test_proxy_uneven_demand.py
@@ -345,7 +345,11 @@
     def test_a_late_request_has_no_slack(self):
         needs = self.request(target_seconds=1.2).needs(11.5)
         self.assertEqual(0.0, needs.slack_seconds)
-        self.assertEqual(0.0, needs.wait_seconds(0.2))
+        # It crosses to leave a queue, but not from a free server.
+        self.assertAlmostEqual(0.05, needs.wait_seconds(0.2))
+        group = ServerGroup([Server(running=12), Server("fd-b")], "fd-a")
+        chosen = make_balancer().choose(group, (), needs)
+        self.assertEqual("fd-a", chosen.failure_domain)
 
 
 class RestartTest(TestCase):
