Count the objects of unfinished headers; keep 100 Continue in order

Header lines of 5 bytes take some 100 bytes as objects. They are counted while a header arrives and joined once it is complete. The parser holds the start of a header that arrives in one piece; it is counted as well.

100 Continue was written past the output that a client has not read yet, which would have put it inside of a response.

--- a/flamingosail/proxy/transport/client.py
+++ b/flamingosail/proxy/transport/client.py
@@ -51,6 +51,9 @@
 MAX_REQUEST_ID_BYTES = 256
 # The objects of a request, besides its head and body.
 REQUEST_OVERHEAD_BYTES = 4096
+# An object of the list of header lines, on average: four for each line, two of
+# which are shared.
+HEADER_OBJECT_BYTES = 25
 # While more of its responses than this are unread, no further request of a
 # connection is handled.
 MAX_UNREAD_BYTES = 262_144
@@ -80,8 +83,10 @@
     ``pending`` holds the unanswered requests in order, ``undispatched`` those
     of them not yet given to the handler, ``completed`` those parsed since data
     arrived, and ``exchange`` the request that is being received, of which
-    ``arriving_bytes`` are held. ``response_bytes`` is the size of responses
-    that wait for an earlier one. Once ``closing``, input is ignored.
+    ``arriving_bytes`` are held. ``unparsed_bytes`` is the size of the input in
+    which it began, of which the parser may hold a part. ``response_bytes`` is
+    the size of responses that wait for an earlier one. Once ``closing``, input
+    is ignored.
     """
 
     def __init__(self, *, listener: "ClientListener"):
@@ -99,6 +104,7 @@
         self.last_read = 0.0
         self.header_bytes = 0
         self.bodiless_bytes = 0
+        self.unparsed_bytes = 0
         self.header_started_at = 0.0
         self.last_used = 0.0
         self.closing = False
@@ -150,7 +156,9 @@
             self.reject(error)
             return
         self.handle_completed()
-        if self.exchange is not None:
+        if self.exchange is not None and not self.closing:
+            if self.exchange is not exchange:
+                self.unparsed_bytes = len(data)
             self.count_arriving()
 
     def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
@@ -210,7 +218,7 @@
         elif lower in DROPPED_HEADERS:
             if lower == b"expect":
                 if not self.pending:
-                    self.transport.write(CONTINUE)
+                    self.output.write(CONTINUE)
             elif (
                 lower == b"content-length"
                 and value.isdigit()
@@ -265,6 +273,7 @@
         size = self.body_bytes + self.header_bytes + REQUEST_OVERHEAD_BYTES
         self.release_buffered_body()
         exchange.body = bytes(body)
+        exchange.head = [b"".join(exchange.head)]
         exchange.held_bytes = size
         self.listener.held.add(Holder.REQUESTS, size)
         exchange.keep_alive = self.parser.should_keep_alive()
@@ -279,7 +288,11 @@
 
     def count_arriving(self):
         """Count what is held of the request being received."""
+        exchange = self.exchange
         size = self.body_bytes + self.header_bytes
+        size += HEADER_OBJECT_BYTES * len(exchange.head)
+        if exchange.arrived_at is None:
+            size += self.unparsed_bytes
         added = size - self.arriving_bytes
         self.listener.held.add(Holder.ARRIVING_REQUESTS, added)
         self.arriving_bytes = size
--- a/tests/test_proxy_heldbytes.py
+++ b/tests/test_proxy_heldbytes.py
@@ -253,6 +253,38 @@
         self.assertEqual({0}, set(self.held.by_holder.values()))
 
 
+class HeaderCrowdTest(CrowdCase):
+    """Guards against headers whose objects take more than their bytes."""
+
+    def test_unfinished_headers_of_short_lines_are_counted(self):
+        connection = self.connect()
+        connection.dataReceived(b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 1000)
+        self.assertGreater(self.held.total, 100_000)
+        connection.dataReceived(b"Host: h\r\nx-id: a\r\n\r\n")
+        self.assertEqual(1, len(self.handler.exchanges[0].head))
+        self.assertLess(self.held.total, 20_000)
+
+    def test_an_unfinished_target_is_counted(self):
+        self.connect().dataReceived(b"GET /" + b"x" * 10_000)
+        self.assertGreater(self.held.total, 10_000)
+
+
+class ContinueTest(CrowdCase):
+    """Guards against an interim response inside of an unread response."""
+
+    def test_it_follows_a_response_that_is_not_read_yet(self):
+        connection = self.connect()
+        connection.dataReceived(request("a"))
+        self.handler.exchanges[0].respond(200, b"", b"r" * 200_000)
+        connection.dataReceived(
+            b"POST /b HTTP/1.1\r\nHost: h\r\nx-id: b\r\n"
+            b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+        )
+        connection.transport.read(10**6)
+        sent = bytes(connection.transport.socket.sent)
+        self.assertIn(b"r" * 200_000 + b"HTTP/1.1 100 ", sent)
+
+
 class ConnectionLimitTest(CrowdCase):
     """Guards against idle connections that take all descriptors."""
 
