--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -178,7 +178,7 @@
             first_start=config.first_start,
             peers=lambda: self.peers.peers.values(),
             metrics=self.metrics,
-            boot_time=lease_seconds,
+            boot_time=lease_clock,
         )
         self.peers = PeerTable(
             reactor=reactor,
