--- a/tests/test_proxy_access.py
+++ b/tests/test_proxy_access.py
@@ -192,7 +192,7 @@
         for name in ("x-key", "X-Key", "X-KEY"):
             exchange = self.received(f"{name}:  k1 \t\r\nX-Tenant: forged\r\n")
             self.assertEqual(b"k1", exchange.credential)
-            self.assertEqual([b"Host", b": ", b"h", b"\r\n"], exchange.head)
+            self.assertEqual([b"Host: h\r\n"], exchange.head)
 
     def test_a_repeated_or_hostile_key_is_unusable_and_not_kept(self):
         for headers in (
@@ -207,7 +207,7 @@
             )
             exchange = self.received(headers)
             self.assertEqual(b"", exchange.credential)
-            self.assertEqual([b"Host", b": ", b"h", b"\r\n"], exchange.head)
+            self.assertEqual([b"Host: h\r\n"], exchange.head)
 
     def test_a_key_in_a_trailer_is_dropped(self):
         self.receive(
@@ -217,7 +217,7 @@
         )
         exchange = self.handler.exchanges[0]
         self.assertIsNone(exchange.credential)
-        self.assertEqual([b"Host", b": ", b"h", b"\r\n"], exchange.head)
+        self.assertEqual([b"Host: h\r\n"], exchange.head)
 
     def test_the_key_of_an_ended_request_is_not_kept(self):
         exchange = self.received("x-key: k1\r\n")
