--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -114,6 +114,12 @@
         self.assertEqual(Address("10.1.0.8", 8304), settings.clients)
         self.assertEqual(2.0, settings.drain_seconds)
 
+    def test_all_failure_domains_are_read(self):
+        """Guards against quotas that are divided among too few domains."""
+        text = SETTINGS + "zones.a=west\nzones.b=west\n"
+        settings = parse_platform_settings(text)
+        self.assertEqual(("a", "b"), settings.failure_domains)
+
     def test_unreadable_settings_are_an_error_of_the_settings(self):
         """Another error would end the loop that rereads changed settings."""
         directory = TemporaryDirectory()
