--- a/flamingosail/proxy/shared/quotas.py
+++ b/flamingosail/proxy/shared/quotas.py
@@ -388,7 +388,7 @@
                 draws.tenant,
                 draws.asked,
                 0.0,
-                partial(self.handle_answer, draws),
+                partial(self.handle_answer, draws, from_far=True),
                 now,
                 borrow=True,
             ):
@@ -397,12 +397,17 @@
         self.end_ask(draws, now)
 
     def handle_answer(
-        self, draws: TenantDraws, tokens: float, retry_after: float | None
+        self,
+        draws: TenantDraws,
+        tokens: float,
+        retry_after: float | None,
+        *,
+        from_far: bool = False,
     ):
         """Use the tokens of a holder; ``retry_after`` is None without answer.
 
-        Another failure domain is only asked if the holder of this one has not
-        answered, since it has borrowed there itself.
+        Other failure domains are only asked if the holder of this one cannot
+        tell, since it would have borrowed there itself.
         """
         now = self.clock.seconds()
         answered = retry_after is not None and retry_after >= 0
@@ -413,7 +418,7 @@
         draws.asked = max(0, draws.asked - served)
         if answered:
             draws.retry_after = retry_after
-        if draws.asked and not answered:
+        if draws.asked and (from_far or not answered):
             self.ask_other_domain(draws, now)
         else:
             self.end_ask(draws, now)
@@ -574,7 +579,11 @@
     ):
         """Give fewer tokens than were asked for."""
         wait = 0.0
-        if given < need:
+        if given < need and not self.book.share(tenant.name, now):
+            # A holder without shares has just started, or has just become the
+            # holder; it does not know whether the quota is used up.
+            wait = -1.0
+        elif given < need:
             wait = self.book.retry_after(tenant, need - given, now)
         answer(given, wait)
 
--- a/flamingosail/proxy/transport/hop.py
+++ b/flamingosail/proxy/transport/hop.py
@@ -279,8 +279,8 @@
     """Reply to entries of a QuotaAsk.
 
     Each entry has the number of the ask, the tokens, and the seconds after
-    which a request without a token may return; negative if the receiver does
-    not know the tenant.
+    which a request without a token may return; negative if the sender cannot
+    tell whether the quota is used up.
     """
 
     entries: list[tuple[int, float, float]]
--- a/tests/test_proxy_quota.py
+++ b/tests/test_proxy_quota.py
@@ -162,6 +162,23 @@
         cluster.play({"t": 2400}, 6.0)
         self.assert_kept(cluster)
 
+    def test_a_restarted_holder_refuses_nothing_within_the_quota(self):
+        """Failure: a holder starts again before the others have noticed.
+
+        It has no tokens and does not know the other domains yet, which says
+        nothing about the quota.
+        """
+        cluster = self.make_cluster([make_tenant(300, 300)])
+        cluster.play({"t": 180}, 2.1)
+        tenant = cluster.tenants["t"]
+        holder = cluster.nodes[0].quotas.holder_of(tenant)
+        for node in cluster.nodes:
+            if node_id(node.address) == holder:
+                cluster.start(node)
+        cluster.play({"t": 180}, 4.0)
+        self.assertLess(cluster.total_refused(), 0.01 * 180 * 4)
+        self.assert_kept(cluster)
+
     def test_a_lower_limit_binds_at_once(self):
         """Failure: a full bucket and its surplus would exceed a lower limit.
 
