--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -138,6 +138,11 @@
             return 0
         return self.server.concurrency.limit(self.usable_slots)
 
+    @property
+    def max_running_now(self) -> int:
+        """``max_running``, or less while a lower limit is measured."""
+        return self.server.concurrency.limit_now(self.usable_slots)
+
     @property
     def capacity(self) -> int:
         """Slots that requests can use; ``room`` in logs and metrics.
@@ -165,7 +170,7 @@
         What is sent to a server that has just crashed is lost as well.
         """
         return (
-            len(self.running) < self.max_running
+            len(self.running) < self.max_running_now
             and self.server.limiter.delay() <= 0.0
             and not self.crash_watch.pending
         )
@@ -413,7 +418,7 @@
         """Dispatch queued requests in order while the server may get some."""
         if self.crash_watch.pending:
             return
-        while self.queue and len(self.running) < self.max_running:
+        while self.queue and len(self.running) < self.max_running_now:
             if self.queue[0][3].done:
                 heappop(self.queue)
                 continue
--- a/flamingosail/proxy/policy/concurrency.py
+++ b/flamingosail/proxy/policy/concurrency.py
@@ -220,10 +220,10 @@
 
     ``enabled`` is set once a server of the deployment has said that it shares
     its machine, this one or, as another node tells, another one. Until then
-    the limit is the number of slots. Levels
-    without recent requests are taken to be as good as the others, so that a
-    limit which is used up rises again. ``run_seconds`` is the mean time of a
-    request at the server, including its child calls; 0 if it is not known.
+    the limit is the number of slots. Levels without recent requests are taken
+    to be as good as the others, so that a limit which is used up rises again.
+    ``run_seconds`` is the mean time of a request at the server, including its
+    child calls; 0 if it is not known.
     """
 
     def __init__(self, *, clock: IReactorTime):
@@ -258,11 +258,19 @@
         """Return how many of the slots may be in use, at least one."""
         if not self.enabled:
             return slots
-        share = self.share
-        now = self.clock.seconds()
-        if now < self.probe_until:
-            share *= self.probe_share
-        return max(1, min(slots, int(slots * share + 0.5)))
+        return max(1, min(slots, int(slots * self.share + 0.5)))
+
+    def limit_now(self, slots: int) -> int:
+        """Return the limit, reduced during a probe.
+
+        Other nodes are not told of probes. Servers that are full at the same
+        time probe at the same time, and admission would take it for a loss of
+        capacity.
+        """
+        limit = self.limit(slots)
+        if self.enabled and self.clock.seconds() < self.probe_until:
+            limit = max(1, int(limit * self.probe_share + 0.5))
+        return limit
 
     def record_load(self, load: ServerLoad):
         """Use the load that the server stated in a response."""
@@ -313,7 +321,7 @@
 
     def record_use(self, running: int, slots: int):
         """Note that a request started as the ``running``-th at a time."""
-        if self.enabled and running >= self.limit(slots):
+        if self.enabled and running >= self.limit_now(slots):
             self.used_up = True
 
     def level(self, concurrency: float, slots: int) -> Level:
--- a/tests/test_proxy_concurrency.py
+++ b/tests/test_proxy_concurrency.py
@@ -73,7 +73,7 @@
 
     @property
     def slots_in_use(self) -> int:
-        return self.limit.limit(self.SLOTS)
+        return self.limit.limit_now(self.SLOTS)
 
     def run(self, seconds: float):
         """Run the server for a time."""
@@ -328,6 +328,18 @@
         self.assertEqual(2.0, level.served)
         self.assertAlmostEqual(0.0, level.total)
 
+    def test_a_probe_is_no_loss_of_capacity(self):
+        """All servers of an overloaded service probe at the same time."""
+        self.limit.start_probe(self.gate.clock.seconds())
+        for number in range(40):
+            job = make_job([], request_id=b"%d" % number)
+            self.gate.submit(job)
+        self.assertEqual(32, len(self.pool.sent))
+        self.assertEqual(38, self.gate.capacity)
+        self.gate.clock.advance(0.2)
+        self.pool.sent[0].finish(make_response())
+        self.assertEqual(39, len(self.pool.sent))
+
     def test_requests_above_the_learned_limit_wait(self):
         self.limit.share = 0.5
         ends = []
