--- a/flamingosail/proxy/policy/concurrency.py
+++ b/flamingosail/proxy/policy/concurrency.py
@@ -218,12 +218,11 @@
 class ConcurrencyLimit:
     """The number of requests that a server takes well at a time.
 
-    ``enabled`` is set once a server of the deployment has said that it shares
-    its machine, this one or, as another node tells, another one. Until then
-    the limit is the number of slots. Levels without recent requests are taken
-    to be as good as the others, so that a limit which is used up rises again.
-    ``run_seconds`` is the mean time of a request at the server, including its
-    child calls; 0 if it is not known.
+    ``enabled`` is set by the first response in which the server says that it
+    shares its machine; until then the limit is the number of slots. Levels
+    without recent requests are taken to be as good as the others, so that a
+    limit which is used up rises again. ``run_seconds`` is the mean time of a
+    request at the server, including its child calls; 0 if it is not known.
     """
 
     def __init__(self, *, clock: IReactorTime):
--- a/flamingosail/proxy/transport/hop.py
+++ b/flamingosail/proxy/transport/hop.py
@@ -204,8 +204,7 @@
     failed. ``slowness_percent`` is how long its server takes for a request,
     compared with the mean of its service, the fields from ``store_era`` to
     ``evidence`` are those of ``Ping``. ``run_ms`` is the mean time of its
-    requests in milliseconds, 0 if the node does not learn it, and
-    ``learns_limits`` says that servers of the deployment share machines.
+    requests in milliseconds, 0 if the node does not learn it.
     """
 
     running: int
@@ -218,7 +217,6 @@
     evidence_digest: int = 0
     evidence: Evidence | None = None
     run_ms: int = 0
-    learns_limits: bool = False
 
 
 class Hello(Struct, tag=7, array_like=True, gc=False):
--- a/flamingosail/proxy/transport/hopconnection.py
+++ b/flamingosail/proxy/transport/hopconnection.py
@@ -175,7 +175,6 @@
                     self.table.quarantine.digest,
                     self.unsent_evidence(),
                     round(1000 * gate.server.concurrency.run_seconds),
-                    gate.server.concurrency.enabled,
                 )
             )
             self.table.store_era.observe(message.store_era, source="peer")
@@ -319,8 +318,6 @@
             peer.reaches_store = message.reaches_store
             peer.slowness = message.slowness_percent / 100
             peer.run_seconds = message.run_ms / 1000
-            if message.learns_limits:
-                self.table.gate.server.concurrency.enabled = True
             self.table.store_era.observe(message.store_era, source="peer")
             self.table.spread.observe(message.config_version, self)
         elif kind is Status:
