--- a/flamingosail/proxy/transport/hop.py
+++ b/flamingosail/proxy/transport/hop.py
@@ -218,8 +218,7 @@
     ``evidence`` are those of ``Ping``. ``config_age_ms`` is how long ago its
     configuration was proved to be the newest, None without a proof
     (``proxy.shared.freshness``). ``run_ms`` is the mean time of its server's
-    requests in milliseconds, 0 if the node does not learn it, and
-    ``learns_limits`` says that servers of the deployment share machines.
+    requests in milliseconds, 0 if the node does not learn it.
     """
 
     running: int
@@ -233,7 +232,6 @@
     evidence: Evidence | None = None
     config_age_ms: int | None = None
     run_ms: int = 0
-    learns_limits: bool = False
 
 
 class Hello(Struct, tag=7, array_like=True, gc=False):
