--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,6 +3,7 @@
 import json
 import platform
 import sys
+from math import inf
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
@@ -129,6 +130,14 @@
         settings = parse_platform_settings(SETTINGS + "limits.memoryMb=552\n")
         self.assertEqual(552_000_000, settings.memory_bytes)
 
+    def test_sockets_are_limited_if_descriptors_are(self):
+        settings = parse_platform_settings(SETTINGS)
+        self.assertEqual(inf, settings.max_sockets)
+        settings = parse_platform_settings(SETTINGS + "limits.maxFds=4100\n")
+        self.assertEqual(3900, settings.max_sockets)
+        with ExpectedException(ExceptionGroup):
+            parse_platform_settings(SETTINGS + "limits.maxFds=200\n")
+
     def test_the_time_to_apply_a_configuration_has_a_default(self):
         settings = parse_platform_settings(SETTINGS)
         self.assertEqual(2.0, settings.config_apply_seconds)
