--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -232,7 +232,7 @@
                 f"held_bytes_{holder}": lambda holder=holder: (
                     self.held.by_holder[holder]
                 )
-                for holder in Holder
+                for holder in Holder.ALL
             },
             server_connects=lambda: self.gate.pool.connect_count,
             # The metric calls retries second sends.
--- a/flamingosail/proxy/shared/heldbytes.py
+++ b/flamingosail/proxy/shared/heldbytes.py
@@ -1,7 +1,6 @@
 """Budget of the bytes that a node holds for clients, servers and peers."""
 
 from collections.abc import Callable
-from enum import StrEnum
 from math import inf
 
 __all__ = ["Holder", "HeldBytes", "SMALL_BYTES"]
@@ -12,7 +11,7 @@
 RESERVED_SHARE = 1 / 4
 
 
-class Holder(StrEnum):
+class Holder:
     """What bytes are held for; the label of the metric ``held_bytes``.
 
     Output is what has been written and not been accepted by the kernel.
@@ -29,6 +28,18 @@
     PEER_CALLS = "peer_calls"
     PEER_OUTPUT = "peer_output"
 
+    ALL = (
+        ARRIVING_REQUESTS,
+        REQUESTS,
+        RESPONSES,
+        CLIENT_OUTPUT,
+        SERVER_OUTPUT,
+        ARRIVING_RESPONSES,
+        PEER_INPUT,
+        PEER_CALLS,
+        PEER_OUTPUT,
+    )
+
 
 class HeldBytes:
     """Counts the bytes that a process holds, by holder.
@@ -43,11 +54,11 @@
         self.limit = limit
         self.limit_of_large = limit * (1 - RESERVED_SHARE)
         self.total = 0
-        self.by_holder: dict[str, int] = dict.fromkeys(Holder, 0)
+        self.by_holder: dict[str, int] = dict.fromkeys(Holder.ALL, 0)
         self.relieving = False
         self.on_excess: Callable[[], None] = lambda: None
 
-    def add(self, holder: Holder, size: int):
+    def add(self, holder: str, size: int):
         """Count ``size`` more bytes; it is negative if they are released."""
         self.total += size
         self.by_holder[holder] += size
--- a/flamingosail/proxy/transport/output.py
+++ b/flamingosail/proxy/transport/output.py
@@ -7,7 +7,6 @@
 from zope.interface import implementer
 
 from flamingosail.proxy.shared.heldbytes import HeldBytes
-from flamingosail.proxy.shared.heldbytes import Holder
 
 __all__ = ["OutputBuffer"]
 
@@ -34,7 +33,7 @@
         *,
         transport,
         held: HeldBytes,
-        holder: Holder,
+        holder: str,
         on_drained: Callable[[], None] = ignore,
     ):
         self.transport = transport
