--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -277,7 +277,7 @@
                 f"held_bytes_{holder}": lambda holder=holder: (
                     self.held.by_holder[holder]
                 )
-                for holder in Holder
+                for holder in Holder.ALL
             },
             server_connects=lambda: self.gate.pool.connect_count,
             quota_tokens_lent=lambda: self.quotas.lent_tokens,
