Pay out what requests earn for retries over the next 10 s

When every server of a deep service begins to reject calls, few requests are admitted or get far, and the budget fell with them at once, although the platform also counts the requests of the window before. Tokens beyond a small bucket had been lost in the seconds before.

Earnings of one second are now paid evenly over the window that follows. An exponential payout was ruled out: after traffic had ceased, requests older than the window before still paid for retries, which exceeds the ratio (test_no_window_exceeds_the_ratio failed with 103 retries of 100).

--- a/flamingosail/proxy/policy/budget.py
+++ b/flamingosail/proxy/policy/budget.py
@@ -4,8 +4,13 @@
 five calls there fails at one of them, and the budget does not cover a retry
 for each. Retries go to the most important requests first, and among equals to
 those whose earlier calls succeeded, since most of their work is done.
+
+The platform counts the requests of the windows before as well. What a request
+earns is therefore paid out over the seconds that follow, so that retries are
+left when requests are refused because a deep service has begun to reject.
 """
 
+from collections import deque
 from math import exp
 
 from twisted.internet.interfaces import IReactorTime
@@ -14,6 +19,11 @@
 
 # The platform limits the number of retries in each window of this length.
 WINDOW_SECONDS = 10.0
+# What requests earn within one period is paid out evenly over the periods of
+# a window. Retries of a window are thus paid by its own requests and those of
+# the window before it, and by none that are older.
+PERIOD_SECONDS = 1.0
+PERIODS = round(WINDOW_SECONDS / PERIOD_SECONDS)
 # All nodes together use this share of the granted ratio and can hold 1.1 times
 # the granted minimum in tokens. Tokens beyond half of the minimum decay within
 # a window. More than the minimum is therefore held only after so many recent
@@ -33,13 +43,41 @@
 RESERVE_BASE_TOKENS = 2.5
 
 
+class Earnings:
+    """Tokens earned by the requests for one service.
+
+    ``current`` is what was earned in the period that began at
+    ``period_began``, and ``periods`` what was in each of those before it.
+    Those of a window are paid at an even rate.
+    """
+
+    def __init__(self, now: float):
+        self.period_began = self.paid_at = now
+        self.current = 0.0
+        self.periods: deque[float] = deque(maxlen=PERIODS)
+
+    def pay(self, now: float) -> float:
+        """Return the tokens that have become due since the last call."""
+        due = 0.0
+        while now >= self.period_began + PERIOD_SECONDS:
+            end = self.period_began + PERIOD_SECONDS
+            due += sum(self.periods) * (end - self.paid_at) / WINDOW_SECONDS
+            self.periods.append(self.current)
+            self.current = 0.0
+            self.period_began = self.paid_at = end
+        due += sum(self.periods) * (now - self.paid_at) / WINDOW_SECONDS
+        self.paid_at = now
+        return due
+
+
 class RetryBudget:
     """A token bucket for each service, filled by the requests for it.
 
     ``ratio`` is the number of retries per request that all nodes together may
     make, ``minimum`` the number granted in addition in each window. A bucket
     holds at most ``bucket_size`` tokens, and ``initial_tokens`` for a service
-    that has not been called yet. ``refused`` counts the retries for which too
+    that has not been called yet. ``earnings`` holds what recent requests have
+    earned. ``refused`` counts the retries for which too
     few tokens were left.
     """
 
@@ -48,6 +86,7 @@
         self.ratio = ratio * USED_RATIO_SHARE
         self.minimum = minimum
         self.tokens: dict[str, float] = {}
+        self.earnings: dict[str, Earnings] = {}
         self.refused = 0
         self.updated_at = clock.seconds()
         self.update(1)
@@ -66,6 +105,8 @@
         )
         # A restarted process must not get a full bucket again.
         self.initial_tokens = max(1.0, self.bucket_size / 2)
+        for service in self.earnings:
+            self.pay_out(service)
         kept = KEPT_MINIMUM_SHARE * share
         for service, tokens in self.tokens.items():
             if tokens > kept:
@@ -73,8 +114,20 @@
 
     def record_request(self, service: str):
         """Earn a fraction of a token for a request."""
+        earnings = self.earnings.get(service)
+        if earnings is None:
+            earnings = Earnings(self.clock.seconds())
+            self.earnings[service] = earnings
+        earnings.current += self.ratio
+
+    def pay_out(self, service: str):
+        """Move the part of the earnings that is due to the bucket."""
+        now = self.clock.seconds()
+        earnings = self.earnings.setdefault(service, Earnings(now))
         tokens = self.tokens.get(service, self.initial_tokens)
-        self.tokens[service] = min(self.bucket_size, tokens + self.ratio)
+        self.tokens[service] = min(
+            self.bucket_size, tokens + earnings.pay(now)
+        )
 
     def charge(self, service: str):
         """Spend a token on a call that belongs to a retried request."""
@@ -92,7 +145,8 @@
         """
         level = 2 * priority + (not progressed)
         reserve = min(MAX_RESERVE_SHARE, RESERVE_SHARE_PER_LEVEL * level)
-        tokens = self.tokens.get(service, self.initial_tokens)
+        self.pay_out(service)
+        tokens = self.tokens[service]
         if tokens < 1 + reserve * (
             min(self.bucket_size, RESERVE_BASE_TOKENS) - 1
         ):
--- a/tests/test_proxy_budget.py
+++ b/tests/test_proxy_budget.py
@@ -159,3 +159,57 @@
             for _ in range(5)
         ]
         self.assertEqual(1, sum(granted))
+
+
+class EarningsTest(TestCase):
+    """Guards against a budget that is empty when it is needed."""
+
+    def retries(self, rates, seconds: float, *, demand: int):
+        """Return the retries per 0.1 s for requests per second ``rates``."""
+        clock = Clock()
+        budget = make_budget(clock=clock, nodes=1)
+        made = []
+        for step in range(round(seconds * 10)):
+            clock.advance(0.1)
+            if step % 5 == 0:
+                budget.update(1)
+            for _ in range(round(rates(step / 10) / 10)):
+                budget.record_request("deep")
+            made.append(
+                sum(
+                    budget.try_spend("deep", priority=0, progressed=True)
+                    for _ in range(demand)
+                )
+            )
+        return made
+
+    def test_retries_remain_when_few_requests_are_admitted(self):
+        """Load: a deep service begins to reject, and most are refused.
+
+        The requests of the seconds before still count for the platform, yet
+        the budget fell with the requests at once.
+        """
+        made = self.retries(lambda at: 1000 if at < 20 else 50, 28, demand=40)
+        # A fifth of 1000 requests per second, for half of the next window.
+        self.assertGreater(sum(made[200:]), 0.2 * 1000 * 10 / 3)
+
+    def test_no_window_exceeds_the_ratio(self):
+        """Load: waves, a burst and a break; each asks for all it can get."""
+        for rates in (
+            lambda at: 1000 if at % 10 < 5 else 100,
+            lambda at: 3000 if 12 <= at < 14 else 300,
+            lambda at: 1000 if at < 20 else 0,
+            lambda at: 0 if at < 20 else 1000,
+            lambda at: 1000 if at % 20 < 10 else 0,
+            lambda at: 4000 if at % 7 < 1 else 0,
+        ):
+            made = self.retries(rates, 40, demand=100)
+            sent = [round(rates(step / 10) / 10) for step in range(400)]
+            for start in range(100, 300):
+                requests = max(
+                    sum(sent[start - back : start - back + 100])
+                    for back in (0, 50, 100)
+                )
+                self.assertLessEqual(
+                    sum(made[start : start + 100]), RATIO * requests + MINIMUM
+                )
