Divide scarce capacity fairly and limit requests that cannot end

fairness.py gives each route a floor if the configuration has client accounts, then goes by priority; within a route, accounts share by weighted max-min fairness. feasibility.py refuses routes that would end by chance less than once in 50 times, beyond what retries cover. Gates report what their server rejects; the calls per request are not measured meanwhile.

Ruled out: limiting also routes with a better chance.

--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -301,6 +301,7 @@
             )
             self.fail(job, Outcome.SHED, "another server has the address")
         elif response.not_executed:
+            self.meter.record_rejection()
             self.fail(job, Outcome.SHED, "the server refused the request")
         elif not response.signature and response.status < 300:
             self.fail(job, Outcome.LOST, "the answer is not the server's")
--- a/flamingosail/proxy/policy/overload.py
+++ b/flamingosail/proxy/policy/overload.py
@@ -9,21 +9,37 @@
 Every node reports how many root requests enter at it on each route, and how
 many of its server's slots the requests of each route occupy, including all
 their calls. From these reports each node computes the same admitted shares.
+``fairness`` divides the capacity of a service, ``feasibility`` limits what
+cannot end while servers reject calls.
 """
 
+from collections.abc import Container
 from collections.abc import Iterable
+from collections.abc import Mapping
+from functools import lru_cache
 from math import exp
+from types import MappingProxyType
 
 from msgspec import Struct
 from twisted.internet.interfaces import IReactorTime
 from xxhash import xxh32_intdigest
 
+from flamingosail.proxy.policy.fairness import account_shares
+from flamingosail.proxy.policy.fairness import Demand
+from flamingosail.proxy.policy.fairness import divide_capacity
+from flamingosail.proxy.policy.feasibility import CallDemand
+from flamingosail.proxy.policy.feasibility import coverable_shares
+from flamingosail.proxy.policy.feasibility import RELIABLE_ACCEPTANCE
+from flamingosail.proxy.shared.tenants import TenantTable
+
 __all__ = [
     "Admission",
     "LoadMeter",
     "LoadReport",
     "USAGE_SCALE",
+    "account_key",
     "add_scaled",
+    "largest",
     "route_key",
 ]
 
@@ -57,6 +73,8 @@
 SHORT_QUEUE_RATIO = 0.25
 BACKLOG_DRAIN_SECONDS = 1.0
 REMAINING_COST_SHARE = 0.6
+# Returning requests may be this many ahead of the share of their route.
+MAX_CREDIT_DEBT = 20.0
 # This share of each route is always admitted, to keep measuring its cost.
 MIN_ADMITTED_SHARE = 0.02
 # A service limits a route only if a request costs more than this there.
@@ -68,10 +86,24 @@
 # nearly all failed, the route would otherwise get no cost, so none of its
 # requests would be rejected and none would complete.
 MIN_COMPLETED_SHARE = 0.1
+# Time constant of the accepted share of calls. Servers begin and cease to
+# reject calls within moments.
+ACCEPTANCE_DECAY_SECONDS = 0.5
+# Fewer arrivals per second do not show whether a service rejects calls.
+MIN_ARRIVALS_PER_SECOND = 2.0
+# Time constant of the arrivals at a service from which the retries that the
+# budget allows are computed; about the mean age of what it pays out.
+ARRIVALS_SECONDS = 5.0
+BUDGET_WINDOW_SECONDS = 10.0
+# Reports list the accounts that send most for their weight on routes that are
+# limited. The number bounds the bytes between failure domains.
+MAX_REPORTED_ACCOUNTS = 12
+MAX_AGGREGATED_ACCOUNTS = 32
 ROUTE_KEY_MASK = 0xFFFF
 # Reports carry rates in tenths and slot usage in hundredths.
 RATE_SCALE = 10
 USAGE_SCALE = 100
+EQUAL_WEIGHTS: Mapping[int, float] = MappingProxyType({})
 
 
 class LoadReport(Struct, array_like=True, gc=False):
@@ -85,6 +117,9 @@
     and ``completed`` those that ended successfully. ``usage`` is the number of
     slots of the node's server occupied by requests and their calls, in
     hundredths, and ``calls`` the number of these calls per second, in tenths.
+    ``arrivals`` counts what reached the server and ``rejected`` the part of it
+    that the server rejected, in tenths per second. ``accounts`` divides
+    ``offered`` of limited routes by client account (``account_key``).
     """
 
     service: str = ""
@@ -96,13 +131,23 @@
     completed: dict[int, int] = {}
     usage: dict[int, int] = {}
     calls: dict[int, int] = {}
+    arrivals: int = 0
+    rejected: int = 0
+    accounts: dict[int, dict[int, int]] = {}
 
 
+@lru_cache(maxsize=16_384)
 def route_key(name: str) -> int:
     """Return a 16-bit hash of a route's name, the same at all nodes."""
     return xxh32_intdigest(name.encode()) & ROUTE_KEY_MASK
 
 
+@lru_cache(maxsize=16_384)
+def account_key(name: str) -> int:
+    """Return a hash of a client account's name, the same at all nodes."""
+    return xxh32_intdigest(name.encode())
+
+
 class LoadMeter:
     """Measures the load of this node and produces its reports."""
 
@@ -116,10 +161,18 @@
         self.completed: dict[int, float] = {}
         self.slot_seconds: dict[int, float] = {}
         self.calls: dict[int, float] = {}
+        self.arrivals = 0.0
+        self.rejected = 0.0
+        self.accounts: dict[int, dict[int, float]] = {}
 
-    def record_arrival(self, key: int, *, admitted: bool):
-        """Count a root request that arrived here."""
+    def record_arrival(
+        self, key: int, *, admitted: bool, account: int | None = None
+    ):
+        """Count a root request that arrived here from a client account."""
         self.offered[key] = self.offered.get(key, 0.0) + 1.0
+        if account is not None:
+            accounts = self.accounts.setdefault(key, {})
+            accounts[account] = accounts.get(account, 0.0) + 1.0
         if admitted:
             self.admitted[key] = self.admitted.get(key, 0.0) + 1.0
 
@@ -136,36 +189,64 @@
         """Count a call to our server and the seconds it held a slot."""
         self.slot_seconds[key] = self.slot_seconds.get(key, 0.0) + seconds
         self.calls[key] = self.calls.get(key, 0.0) + 1.0
+        self.arrivals += 1.0
+
+    def record_rejection(self):
+        """Count a call that our server rejected; it is recorded as well."""
+        self.rejected += 1.0
 
-    def report(self, service: str, capacity: int, waiting: int) -> LoadReport:
-        """Return the decayed rates and usage up to now."""
+    def report(
+        self,
+        service: str,
+        capacity: int,
+        waiting: int,
+        *,
+        limited: Container[int] = (),
+        weights: Mapping[int, float] = EQUAL_WEIGHTS,
+    ) -> LoadReport:
+        """Return the decayed rates and usage up to now.
+
+        The report includes the accounts with the most requests for their
+        weight on the routes ``limited``.
+        """
         now = self.clock.seconds()
         factor = exp((self.decayed_at - now) / RATE_DECAY_SECONDS)
+        short = exp((self.decayed_at - now) / ACCEPTANCE_DECAY_SECONDS)
         self.decayed_at = now
+        self.arrivals *= short
+        self.rejected *= short
         # A sum that decays with time constant T covers T seconds, fewer soon
         # after the start.
         window = RATE_DECAY_SECONDS * (
             1 - exp((self.started_at - now) / RATE_DECAY_SECONDS)
         )
-        rates = []
-        for sums, scale in (
-            (self.offered, RATE_SCALE),
-            (self.admitted, RATE_SCALE),
-            (self.ended, RATE_SCALE),
-            (self.completed, RATE_SCALE),
-            (self.slot_seconds, USAGE_SCALE),
-            (self.calls, RATE_SCALE),
-        ):
-            rate = {}
-            for key in list(sums):
-                sums[key] *= factor
-                number = round(sums[key] * scale / max(window, 0.1))
-                if number:
-                    rate[key] = number
-                elif sums[key] < 0.001:
-                    del sums[key]
-            rates.append(rate)
-        return LoadReport(service, capacity, waiting, *rates)
+        window = max(window, 0.1)
+        rates = [
+            decayed_rates(sums, factor, scale / window)
+            for sums, scale in (
+                (self.offered, RATE_SCALE),
+                (self.admitted, RATE_SCALE),
+                (self.ended, RATE_SCALE),
+                (self.completed, RATE_SCALE),
+                (self.slot_seconds, USAGE_SCALE),
+                (self.calls, RATE_SCALE),
+            )
+        ]
+        accounts = {}
+        for key, sums in self.accounts.items():
+            decayed = decayed_rates(sums, factor, RATE_SCALE / window)
+            if key in limited:
+                accounts[key] = heaviest(decayed, weights)
+        scale = RATE_SCALE / ACCEPTANCE_DECAY_SECONDS
+        return LoadReport(
+            service,
+            capacity,
+            waiting,
+            *rates,
+            round(self.arrivals * scale),
+            round(self.rejected * scale),
+            accounts,
+        )
 
 
 class ServiceLoad:
@@ -176,6 +257,16 @@
         self.waiting = 0
         self.previous_waiting = 0
         self.target_utilization = MAX_UTILIZATION
+        self.arrivals = 0.0
+        self.rejected = 0.0
+        self.arrival_rate = 0.0
+
+    @property
+    def acceptance(self) -> float:
+        """The share of the calls that the servers do not reject."""
+        if self.arrivals < MIN_ARRIVALS_PER_SECOND:
+            return 1.0
+        return max(0.0, 1.0 - self.rejected / self.arrivals)
 
     @property
     def queue_is_long(self) -> bool:
@@ -211,10 +302,27 @@
     whose capacity determines a share. ``calls_per_request``, ``call_seconds``
     (slot seconds per call) and their product ``costs`` are estimates by route
     and service.
+
+    ``account_shares`` holds, by route, the shares of client accounts, and
+    under None that of the accounts that are not listed. ``floored`` holds the
+    routes that get no more than their floor. All nodes may make
+    ``retry_ratio`` retries per call, and ``retry_minimum`` in each window.
     """
 
-    def __init__(self, *, clock: IReactorTime):
+    def __init__(
+        self,
+        *,
+        clock: IReactorTime,
+        retry_ratio: float = 0.0,
+        retry_minimum: float = 0.0,
+    ):
         self.clock = clock
+        self.retry_ratio = retry_ratio
+        self.retry_minimum = retry_minimum
+        self.has_floors = False
+        self.floored: set[int] = set()
+        self.account_weights: dict[int, float] = {}
+        self.account_shares: dict[int, dict[int | None, float]] = {}
         self.calls_per_request: dict[tuple[int, str], float] = {}
         self.first_seen: dict[tuple[int, str], float] = {}
         self.call_seconds: dict[tuple[int, str], float] = {}
@@ -225,14 +333,43 @@
         self.credits: dict[int, float] = {}
         self.computed_at = clock.seconds()
 
-    def admit(self, key: int) -> bool:
-        """Return whether the next request of a route is admitted."""
+    def set_accounts(self, accounts: TenantTable | None):
+        """Use the client accounts of a configuration, None if it has none.
+
+        Accounts compete for room in proportion to their rates; one without a
+        limit counts as the largest.
+        """
+        self.has_floors = accounts is not None
+        self.account_weights = {}
+        if accounts is not None:
+            rates = [account.rate for account in accounts.by_name.values()]
+            most = max(rates, default=0.0) or 1.0
+            self.account_weights = {
+                account_key(account.name): account.rate or most
+                for account in accounts.by_name.values()
+            }
+
+    def admit(
+        self,
+        key: int,
+        *,
+        account: int | None = None,
+        returning: bool = False,
+    ) -> bool:
+        """Return whether the next request of a route is admitted.
+
+        A ``returning`` request, for which an admission was reserved, is
+        admitted ahead of others of its route, which get less in turn.
+        """
         share = self.shares.get(key)
         if share is None:
             return True
+        accounts = self.account_shares.get(key)
+        if accounts is not None:
+            share = accounts.get(account, accounts[None])
         credit = self.credits.get(key, 0.5) + share
-        if credit >= 1:
-            self.credits[key] = credit - 1
+        if credit >= 1 or returning:
+            self.credits[key] = max(-MAX_CREDIT_DEBT, credit - 1)
             return True
         self.credits[key] = credit
         return False
@@ -253,16 +390,22 @@
         completed: dict[int, float] = {}
         usage: dict[tuple[int, str], float] = {}
         calls: dict[tuple[int, str], float] = {}
+        accounts: dict[int, dict[int, float]] = {}
         for load in self.services.values():
             load.capacity = load.waiting = 0
+            load.arrivals = load.rejected = 0.0
         for report in reports:
             add_scaled(offered, report.offered, 1 / RATE_SCALE)
             add_scaled(admitted, report.admitted, 1 / RATE_SCALE)
             add_scaled(ended, report.ended, 1 / RATE_SCALE)
             add_scaled(completed, report.completed, 1 / RATE_SCALE)
+            for key, rates in report.accounts.items():
+                add_scaled(accounts.setdefault(key, {}), rates, 1 / RATE_SCALE)
             if not report.capacity:
                 continue
             load = self.services.setdefault(report.service, ServiceLoad())
+            load.arrivals += report.arrivals / RATE_SCALE
+            load.rejected += report.rejected / RATE_SCALE
             load.capacity += report.capacity
             load.waiting += report.waiting
             for key, used in report.usage.items():
@@ -281,13 +424,27 @@
         self.update_costs(elapsed, effective_rates, usage, calls)
         shares: dict[int, float] = {}
         self.limiting_services = {}
+        self.floored = set()
         for service, load in self.services.items():
             load.update_target()
+            load.arrival_rate += (1 - exp(-elapsed / ARRIVALS_SECONDS)) * (
+                load.arrivals - load.arrival_rate
+            )
             if load.capacity:
                 self.allocate_capacity(
                     service, load, offered, priorities, shares
                 )
+                self.limit_to_retries(
+                    service, load, offered, priorities, shares
+                )
         self.shares = shares
+        self.account_shares = {
+            key: account_shares(
+                accounts[key], self.account_weights, offered[key], share
+            )
+            for key, share in shares.items()
+            if key in accounts and key in offered
+        }
 
     def update_costs(
         self,
@@ -309,6 +466,12 @@
         rising = 1 - exp(-elapsed / CALLS_RISE_SECONDS)
         falling = 1 - exp(-elapsed / CALLS_FALL_SECONDS)
         now = self.clock.seconds()
+        # While calls are rejected at random, few requests complete, rejected
+        # calls take no time, and retries count as calls.
+        rejecting = any(
+            load.capacity and load.acceptance < RELIABLE_ACCEPTANCE
+            for load in self.services.values()
+        )
         for key, rate in effective_rates.items():
             for service, load in self.services.items():
                 if not load.capacity:
@@ -316,6 +479,8 @@
                     # the estimate would fall to zero.
                     continue
                 pair = (key, service)
+                if rejecting and pair in self.calls_per_request:
+                    continue
                 measured = calls.get(pair, 0.0) / rate
                 estimate = self.calls_per_request.setdefault(pair, measured)
                 age = now - self.first_seen.setdefault(pair, now)
@@ -356,35 +521,68 @@
         priorities: dict[int, int],
         shares: dict[int, float],
     ):
-        """Divide the capacity of a service among routes by priority.
+        """Divide the capacity of a service among routes.
 
         Lowers the entries of ``shares`` for routes that the service limits.
         """
-        demands: dict[int, list[tuple[int, float]]] = {}
-        for key, rate in offered.items():
-            cost = self.costs.get((key, service), 0.0)
-            if cost > NEGLIGIBLE_COST_SLOT_SECONDS and key in priorities:
-                demands.setdefault(priorities[key], []).append(
-                    (key, rate * cost)
-                )
+        demands = [
+            Demand(key=key, priority=priorities[key], slots=rate * cost)
+            for key, rate in offered.items()
+            if key in priorities
+            and (cost := self.costs.get((key, service), 0.0))
+            > NEGLIGIBLE_COST_SLOT_SECONDS
+        ]
         if not demands:
             return
-        last = max(demands)
+        last = max(demand.priority for demand in demands)
         backlog = self.backlog_slots(
-            service, load, [key for key, _ in demands[last]]
+            service,
+            load,
+            [demand.key for demand in demands if demand.priority == last],
+        )
+        division = divide_capacity(
+            demands,
+            load.capacity * load.target_utilization,
+            backlog,
+            floors=self.has_floors,
+        )
+        self.floored |= division.floored
+        self.limit(service, division.shares, shares)
+
+    def limit_to_retries(
+        self,
+        service: str,
+        load: ServiceLoad,
+        offered: dict[int, float],
+        priorities: dict[int, int],
+        shares: dict[int, float],
+    ):
+        """Lower the shares of routes whose requests mostly cannot end."""
+        supply = (
+            self.retry_ratio * load.arrival_rate
+            + self.retry_minimum / BUDGET_WINDOW_SECONDS
         )
-        left = load.capacity * load.target_utilization
-        for priority in sorted(demands):
-            demand = sum(need for _, need in demands[priority])
-            if priority == last:
-                left -= backlog
-            share = max(MIN_ADMITTED_SHARE, min(1.0, left / demand))
-            left = max(0.0, left - demand)
-            if share < 1.0:
-                for key, _ in demands[priority]:
-                    if share < shares.get(key, 1.0):
-                        shares[key] = share
-                        self.limiting_services[key] = service
+        demands = [
+            CallDemand(
+                key=key, priority=priorities[key], rate=rate, calls=calls
+            )
+            for key, rate in offered.items()
+            if key in priorities
+            and (calls := self.calls_per_request.get((key, service), 0.0)) > 0
+        ]
+        self.limit(
+            service, coverable_shares(demands, load.acceptance, supply), shares
+        )
+
+    def limit(
+        self, service: str, limits: dict[int, float], shares: dict[int, float]
+    ):
+        """Lower ``shares`` to what a service allows."""
+        for key, limit in limits.items():
+            share = max(MIN_ADMITTED_SHARE, limit)
+            if share < shares.get(key, 1.0):
+                shares[key] = share
+                self.limiting_services[key] = service
 
 
 def effective_rate(admitted: float, ended: float, completed: float) -> float:
@@ -400,3 +598,43 @@
     """Add ``numbers``, multiplied by ``scale``, to ``totals`` by key."""
     for key, number in numbers.items():
         totals[key] = totals.get(key, 0) + number * scale
+
+
+def decayed_rates(
+    sums: dict[int, float], factor: float, scale: float
+) -> dict[int, int]:
+    """Decay ``sums`` in place and return them as scaled whole numbers."""
+    rates = {}
+    for key in list(sums):
+        sums[key] *= factor
+        number = round(sums[key] * scale)
+        if number:
+            rates[key] = number
+        elif sums[key] < 0.001:
+            del sums[key]
+    return rates
+
+
+def heaviest(
+    rates: dict[int, int], weights: Mapping[int, float]
+) -> dict[int, int]:
+    """Return the accounts with the most requests for their weight."""
+    if len(rates) <= MAX_REPORTED_ACCOUNTS:
+        return rates
+    ordered = sorted(
+        rates, key=lambda account: -rates[account] / weights.get(account, 1.0)
+    )
+    return {
+        account: rates[account] for account in ordered[:MAX_REPORTED_ACCOUNTS]
+    }
+
+
+def largest(rates: dict[int, int]) -> dict[int, int]:
+    """Return the accounts with the most requests of an aggregate."""
+    if len(rates) <= MAX_AGGREGATED_ACCOUNTS:
+        return rates
+    ordered = sorted(rates, key=lambda account: (-rates[account], account))
+    return {
+        account: rates[account]
+        for account in ordered[:MAX_AGGREGATED_ACCOUNTS]
+    }
--- a/flamingosail/proxy/shared/loadreports.py
+++ b/flamingosail/proxy/shared/loadreports.py
@@ -12,6 +12,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from flamingosail.proxy.policy.overload import add_scaled
+from flamingosail.proxy.policy.overload import largest
 from flamingosail.proxy.policy.overload import LoadReport
 
 __all__ = ["AGGREGATE_INTERVAL_SECONDS", "LoadReports", "aggregate_by_service"]
@@ -87,7 +88,7 @@
         total = totals.get(report.service)
         if total is None:
             total = totals[report.service] = LoadReport(
-                report.service, 0, 0, {}, {}, {}, {}, {}, {}
+                report.service, 0, 0, {}, {}, {}, {}, {}, {}, 0, 0, {}
             )
         total.capacity += report.capacity
         # Requests queued at a server without capacity do not count as
@@ -97,7 +98,14 @@
         add_scaled(total.admitted, report.admitted)
         add_scaled(total.ended, report.ended)
         add_scaled(total.completed, report.completed)
+        for key, rates in report.accounts.items():
+            add_scaled(total.accounts.setdefault(key, {}), rates)
         if report.capacity:
+            total.arrivals += report.arrivals
+            total.rejected += report.rejected
             add_scaled(total.usage, report.usage)
             add_scaled(total.calls, report.calls)
+    for total in totals.values():
+        for key, rates in total.accounts.items():
+            total.accounts[key] = largest(rates)
     return list(totals.values())
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -325,6 +325,17 @@
                 self.pool.sent[-1].finish(make_response(**changes))
         self.assertEqual(1.0, self.gate.server.speed.slowness())
 
+    def test_rejections_of_the_server_are_reported(self):
+        """Entry nodes admitted requests that could not end."""
+        self.gate.server.handle_report(make_report())
+        for not_executed in (True, False, True):
+            self.submit(deadline=self.clock.seconds() + 1.0)
+            self.pool.sent[-1].finish(
+                make_response(status=503, not_executed=not_executed)
+            )
+        report = self.gate.meter.report("histbook", 2, 0)
+        self.assertEqual((60, 40), (report.arrivals, report.rejected))
+
     def test_a_stopping_node_refuses_new_requests(self):
         self.gate.server.handle_report(make_report())
         self.gate.closed = True
--- a/tests/test_proxy_overload.py
+++ b/tests/test_proxy_overload.py
@@ -119,6 +119,28 @@
         self.assertGreater(share[CHECK], 0.95)
         self.assertGreater(share[CHECK], share[READ])
 
+    def test_the_least_important_route_is_not_starved(self):
+        """Load: more urgent requests alone need more than all slots.
+
+        Of equal cuts each route would get 0.35; the floor is half of that.
+        """
+        served = {}
+        for floors in (False, True):
+            model = DeepServiceModel(slots=10, admission=True)
+            model.admission.has_floors = floors
+            model.run(seconds=8, rates={READ: 150.0, CHECK: 700.0})
+            before = dict(model.completed)
+            model.run(seconds=20, rates={READ: 150.0, CHECK: 700.0})
+            served[floors] = {
+                key: (model.completed[key] - before[key]) / 20
+                for key in before
+            }
+        self.assertLess(served[False][READ], 0.05 * 150)
+        self.assertGreater(served[True][READ], 0.15 * 150)
+        self.assertGreater(
+            served[True][CHECK] / 700, 2 * served[True][READ] / 150
+        )
+
     def test_the_queue_drains_soon_after_losing_servers(self):
         """A standing queue delays every request and serves no more of them."""
         rates = {READ: 100.0, CHECK: 50.0}
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -511,6 +511,22 @@
         self.assertNotEqual({}, shares[0])
         self.assertEqual(*shares)
 
+    def test_the_aggregate_has_rejections_and_accounts(self):
+        """Other domains did not see that a service rejects calls."""
+        singles = [
+            LoadReport(
+                "deep",
+                4,
+                arrivals=100,
+                rejected=rejected,
+                accounts={1: {7: 30, account: 10}},
+            )
+            for account, rejected in ((8, 20), (9, 90))
+        ]
+        [total] = aggregate_by_service(singles)
+        self.assertEqual((200, 110), (total.arrivals, total.rejected))
+        self.assertEqual({1: {7: 60, 8: 10, 9: 10}}, total.accounts)
+
     def test_the_aggregate_over_more_nodes_counts(self):
         """A node that is cut off from its domain also acts as aggregator."""
         whole = LoadReport("deep", 40, 0)
