Admit clients that come back; use floors, accounts and retry coverage

A refused client came back after 0.3 s at most on routes with a short timeout, whatever time it had left, and was refused as often as a new one.

Reserving for all was ruled out: in a long overload all clients would be refused once first, and as many would be refused twice.

Requests of accounts with a priority of their own are a class apart (requestclass.py). What a floor admits is queued with the most urgent.

--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -20,18 +20,20 @@
 from flamingosail.proxy.policy.balance import LoadBalancer
 from flamingosail.proxy.policy.budget import RetryBudget
 from flamingosail.proxy.policy.fingerprint import request_fingerprint
+from flamingosail.proxy.policy.overload import account_key
 from flamingosail.proxy.policy.overload import Admission
 from flamingosail.proxy.policy.overload import LoadMeter
 from flamingosail.proxy.policy.overload import LoadReport
-from flamingosail.proxy.policy.overload import route_key
 from flamingosail.proxy.policy.quarantine import Quarantine
 from flamingosail.proxy.policy.quarantine import Verdict
+from flamingosail.proxy.policy.requestclass import class_key
+from flamingosail.proxy.policy.requestclass import class_priorities
+from flamingosail.proxy.policy.returns import ReturningClients
 from flamingosail.proxy.shared.routes import ClientLimits
 from flamingosail.proxy.shared.routes import Route
 from flamingosail.proxy.shared.routes import RouteTable
 from flamingosail.proxy.shared.routes import WeightedRoundRobin
 from flamingosail.proxy.shared.servers import RemoteServer
-from flamingosail.proxy.shared.tenants import Tenant
 from flamingosail.proxy.timeouts import Timeouts
 from flamingosail.proxy.transport.hop import Outcome
 from flamingosail.proxy.transport.peers import PeerTable
@@ -52,9 +54,9 @@
 # The gate gets an earlier deadline, so that its rejection of an expired
 # request arrives before this node's own timeout.
 GATE_DEADLINE_MARGIN_SECONDS = 0.01
-# Priorities of routes that are distinguished within one of a client account.
-ROUTE_PRIORITIES = 64
-
+# Rank of root requests admitted within the floor of their route.
+FLOOR_RANK = 1
+RETRY_AFTER_HEADER = b"Retry-After: %.3f\r\n"
 
 # Tells the client why a request is not sent to a server (RFC 9457).
 PROBLEM_HEAD = b"Content-Type: application/problem+json\r\n"
@@ -110,7 +112,6 @@
         self.meter = meter
         self.metrics = metrics
         self.decisions = DecisionLog(clock=clock, channel="proxy.forward")
-        self.route_keys: dict[str, int] = {}
         self.priorities: dict[int, int] = {}
         self.request_id_header = b"%s: %%s\r\n" % dialect.request_id
         self.signature_header = b"%s: %%s\r\n" % dialect.signature
@@ -124,6 +125,7 @@
         self.service_selector = WeightedRoundRobin()
         self.budget = budget
         self.quarantine = quarantine
+        self.returns = ReturningClients(clock=clock, random=random)
         self.access = access
         self.timeouts = Timeouts(clock=clock, on_due=self.timed_out)
         self.in_flight = 0
@@ -135,20 +137,14 @@
         self.table = table
         self.limits = table.limits
         self.service_selector.reset()
-        routes = [
-            route for paths in table.hosts.values() for route in paths.values()
-        ]
-        self.route_keys = {
-            route.name: route_key(route.name) for route in routes
-        }
-        self.priorities = {
-            self.route_keys[route.name]: route.priority for route in routes
-        }
+        self.priorities = class_priorities(table)
+        self.admission.set_accounts(table.tenants)
 
     def update_admission(self, reports: list[LoadReport]):
         """Recompute the admitted shares from all nodes' load reports."""
         self.budget.update(1 + len(self.peers.peers))
         before = self.admission.limiting_services
+        self.returns.expire()
         self.admission.compute_shares(reports, self.priorities)
         if self.admission.limiting_services or before:
             self.decisions.failure("admission", self.admission_fields)
@@ -163,11 +159,13 @@
         return {
             "shares": rounded(admission.shares),
             "binding": admission.limiting_services,
+            "floored": sorted(admission.floored),
             "services": {
                 name: {
                     "room": load.capacity,
                     "waiting": load.waiting,
                     "fill": round(load.target_utilization, 2),
+                    "accepts": round(load.acceptance, 2),
                 }
                 for name, load in admission.services.items()
             },
@@ -256,13 +254,31 @@
             self.reject_early(exchange, "the node stops")
             return False
         request.is_root = True
-        key = request.root_route = self.route_keys[route.name]
-        request.rank = 2 * request_priority(route, request.tenant) + 1
-        admitted = self.admission.admit(key)
-        self.meter.record_arrival(key, admitted=admitted)
+        key = request.root_route = class_key(route, request.tenant)
+        request.rank = 2 * self.priorities[key] + 1
+        if key in self.admission.floored:
+            # Queues would take back what the floor grants.
+            request.rank = FLOOR_RANK
+        account = None
+        if request.tenant is not None:
+            account = account_key(request.tenant.name)
+        admitted = self.admission.admit(
+            key,
+            account=account,
+            returning=len(self.returns) > 0
+            and self.returns.redeem(self.return_identity(request)),
+        )
+        self.meter.record_arrival(key, admitted=admitted, account=account)
         if not admitted:
             request.done = True
-            remaining = request.deadline - self.clock.seconds()
+            age = self.clock.seconds() - exchange.arrived_at
+            wait = self.returns.invite(
+                key,
+                self.return_identity(request),
+                share=self.admission.shares[key],
+                remaining=client_seconds(request) - age,
+                target=route.target_seconds,
+            )
             self.metrics.count("requests_not_admitted", route.name)
             self.decisions.failure(
                 "not admitted",
@@ -270,15 +286,28 @@
                     **self.request_fields(request, "overload"),
                     "share": self.admission.shares.get(key),
                     "full": self.admission.limiting_services.get(key),
+                    "account": request.tenant and request.tenant.name,
+                    "wait_ms": round(wait * 1000),
                     "computed_ms_ago": round(
                         (self.clock.seconds() - self.admission.computed_at)
                         * 1000
                     ),
                 },
             )
-            exchange.respond(503, self.retry_after_header(remaining), b"")
+            exchange.respond(503, RETRY_AFTER_HEADER % wait, b"")
         return admitted
 
+    def fingerprint(self, request: ForwardedRequest) -> int:
+        """Return the identity of a request, whatever its id."""
+        return request_fingerprint(
+            request.request_line, request.head, request.exchange.body
+        )
+
+    def return_identity(self, request: ForwardedRequest) -> int:
+        """Return by what a refused request is known when it comes back."""
+        tenant = request.tenant and request.tenant.name
+        return hash((self.fingerprint(request), tenant))
+
     def parent_of(self, exchange: Exchange) -> Job | None:
         """Return the request at our server that made this call, if any.
 
@@ -313,10 +342,8 @@
         """Return whether a request is known to crash servers."""
         if not self.quarantine.suspects:
             return False
-        fingerprint = request_fingerprint(
-            request.request_line, request.head, request.exchange.body
-        )
-        return self.quarantine.verdict(fingerprint) is Verdict.QUARANTINED
+        verdict = self.quarantine.verdict(self.fingerprint(request))
+        return verdict is Verdict.QUARANTINED
 
     def reject_quarantined(self, request: ForwardedRequest):
         """Answer a request that no server may run, before it is admitted.
@@ -571,7 +598,7 @@
         seconds = max(
             MIN_RETRY_AFTER_SECONDS, longest * self.random.uniform(0.3, 1.0)
         )
-        return b"Retry-After: %.3f\r\n" % seconds
+        return RETRY_AFTER_HEADER % seconds
 
     def respond(
         self, request: ForwardedRequest, status: int, head: bytes, body: bytes
@@ -618,13 +645,14 @@
         }
 
 
-def request_priority(route: Route, tenant: Tenant | None) -> int:
-    """Return the priority of a root request; that of its account precedes."""
-    if tenant is None or tenant.priority is None:
-        return route.priority
-    return tenant.priority * ROUTE_PRIORITIES + min(
-        route.priority, ROUTE_PRIORITIES - 1
-    )
+def client_seconds(request: ForwardedRequest) -> float:
+    """Return the seconds that the client gives its request.
+
+    The timeout of the route, which may be shorter, limits one attempt.
+    """
+    if request.exchange.timeout_ms is not None:
+        return request.exchange.timeout_ms / 1000
+    return request.route.timeout_seconds
 
 
 def rounded(numbers: dict) -> dict:
--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -181,7 +181,11 @@
                 random=random,
                 failure_domain=config.failure_domain,
             ),
-            admission=Admission(clock=reactor),
+            admission=Admission(
+                clock=reactor,
+                retry_ratio=config.retry_ratio,
+                retry_minimum=config.retry_minimum,
+            ),
             meter=self.meter,
             metrics=self.metrics,
             budget=RetryBudget(
@@ -239,6 +243,8 @@
             server_connects=lambda: self.gate.pool.connect_count,
             # The metric calls retries second sends.
             second_sends_refused=lambda: self.forwarder.budget.refused,
+            returns_reserved=lambda: self.forwarder.returns.reserved,
+            returns_admitted=lambda: self.forwarder.returns.redeemed,
         )
 
     # Messages about this node.
@@ -278,7 +284,14 @@
         gate = self.gate
         usable = gate.server.state == "ready" and self.stopping_since is None
         capacity = gate.capacity if usable else 0
-        return self.meter.report(self.config.service, capacity, gate.waiting)
+        admission = self.forwarder.admission
+        return self.meter.report(
+            self.config.service,
+            capacity,
+            gate.waiting,
+            limited=admission.shares,
+            weights=admission.account_weights,
+        )
 
     def health_path(self, service: str) -> str | None:
         """Return the path of a service's health endpoint.
--- a/tests/test_proxy_forward.py
+++ b/tests/test_proxy_forward.py
@@ -266,6 +266,29 @@
         self.submit(request_id=b"id.1")
         self.assertEqual(1, len(self.same_domain.calls))
 
+    def test_a_refused_client_is_admitted_when_it_comes_back(self):
+        """It was refused again as often as a new one was refused."""
+        admission = self.forwarder.admission
+        key = route_key("r-read")
+        admission.shares, admission.credits = {key: 0.9}, {key: 0.0}
+        self.submit(target=b"/read/1")
+        [(status, head, _)] = self.client.responses
+        self.assertEqual(503, status)
+        wait = float(head.partition(b"Retry-After: ")[2].split()[0])
+        admission.shares = {key: 0.1}
+        admission.credits = {key: -5.0}
+        self.clock.advance(wait)
+        self.submit(target=b"/read/2", request_id=b"other")
+        self.assertEqual([503, 503], self.statuses())
+        self.submit(target=b"/read/1", request_id=b"again")
+        self.assertEqual(1, len(self.same_domain.calls))
+
+    def test_what_a_floor_admits_is_not_queued_behind_the_rest(self):
+        key = route_key("r-read")
+        self.forwarder.admission.floored = {key}
+        self.submit()
+        self.assertEqual(1, self.same_domain.calls[0][1]["rank"])
+
     def test_a_call_gets_the_rank_just_before_its_request(self):
         parent = make_job([], request_id=b"id", rank=5, root_route=77)
         self.peers.gate.running[b"id"] = parent
