--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -321,6 +321,7 @@
             self.server.concurrency.record_rejected(
                 concurrency=concurrency, slots=self.usable_slots
             )
+            self.meter.record_rejection()
             self.fail(job, Outcome.SHED, "the server refused the request")
         elif not response.signature and response.status < 300:
             self.fail(job, Outcome.LOST, "the answer is not the server's")
