--- a/flamingosail/proxy/policy/quota.py
+++ b/flamingosail/proxy/policy/quota.py
@@ -243,7 +243,14 @@
         """Remember a set of nodes that later leases name by its digest."""
         members = tuple(sorted(members))
         if len(self.known_views) >= MAX_CACHED_VIEWS:
-            self.known_views.pop(next(iter(self.known_views)))
+            named = {
+                digest for lease in self.leases.values() for digest in lease[2]
+            }
+            self.known_views = {
+                digest: view
+                for digest, view in self.known_views.items()
+                if digest in named
+            }
         self.known_views[view_digest(members)] = members
         self.recount_at = -inf
 
