--- a/flamingosail/proxy/shared/heldbytes.py
+++ b/flamingosail/proxy/shared/heldbytes.py
@@ -40,6 +40,7 @@
         PEER_INPUT,
         PEER_CALLS,
         PEER_OUTPUT,
+        PEER_REPLIES,
     )
 
 
