Refuse requests that need a service without servers

Cause: admission skipped a service without capacity, so that all routes which call it were let in to fail.

Change: a route whose requests called such a service, and of whose requests fewer than half complete now, gets the smallest share until the service is back. A route that has moved away from the service completes and is not limited.

Ruled out: waiting in Forwarder.send for a server, which holds requests whose service may be gone for long.

tests/test_proxy_overload.py: 1 failed before, 21 passed with tests/test_proxy_feasibility.py after.

--- a/flamingosail/proxy/policy/overload.py
+++ b/flamingosail/proxy/policy/overload.py
@@ -75,6 +75,11 @@
 REMAINING_COST_SHARE = 0.6
 # Returning requests may be this many ahead of the share of their route.
 MAX_CREDIT_DEBT = 20.0
+# A request that makes fewer calls to a service on average may end without it.
+MIN_NEEDED_CALLS = 0.9
+# Routes of whose requests at least this share completes do not need a service
+# that has no server now, whatever they called before.
+MIN_COMPLETED_WITHOUT = 0.5
 # This share of each route is always admitted, to keep measuring its cost.
 MIN_ADMITTED_SHARE = 0.02
 # A service limits a route only if a request costs more than this there.
@@ -437,6 +442,13 @@
                 self.limit_to_retries(
                     service, load, offered, priorities, shares
                 )
+            else:
+                failing = [
+                    key
+                    for key, rate in ended.items()
+                    if completed.get(key, 0.0) < MIN_COMPLETED_WITHOUT * rate
+                ]
+                self.limit(service, self.needing(service, failing), shares)
         self.shares = shares
         self.account_shares = {
             key: account_shares(
@@ -549,6 +561,19 @@
         self.floored |= division.floored
         self.limit(service, division.shares, shares)
 
+    def needing(self, service: str, keys: Iterable[int]) -> dict[int, float]:
+        """Return a share of 0 for those routes whose requests need a service.
+
+        Without a server of that service they would be begun in vain. A route
+        that needs it for a part of its requests is not limited.
+        """
+        return {
+            key: 0.0
+            for key in keys
+            if self.calls_per_request.get((key, service), 0.0)
+            >= MIN_NEEDED_CALLS
+        }
+
     def limit_to_retries(
         self,
         service: str,
--- a/tests/test_proxy_overload.py
+++ b/tests/test_proxy_overload.py
@@ -245,6 +245,41 @@
             4.0, admission.calls_per_request[(READ, "deep")]
         )
 
+    def test_nothing_is_begun_that_needs_a_service_without_servers(self):
+        """In a failure domain that is cut off, the only server leaves."""
+        clock = Clock()
+        admission = Admission(clock=clock)
+        rates = {READ: 500}
+
+        def compute(capacity: int, completed: int):
+            clock.advance(0.5)
+            admission.compute_shares(
+                [
+                    LoadReport(
+                        "deep",
+                        capacity,
+                        0,
+                        rates,
+                        rates,
+                        rates,
+                        {READ: completed},
+                        {READ: 400} if capacity else {},
+                        {READ: 2000} if capacity else {},
+                    )
+                ],
+                PRIORITIES,
+            )
+
+        for _ in range(8):
+            compute(20, 500)
+        self.assertEqual({}, admission.shares)
+        compute(0, 50)
+        self.assertLess(admission.shares[READ], 0.1)
+        self.assertEqual({READ: "deep"}, admission.limiting_services)
+        # The route does not call the service any more.
+        compute(0, 400)
+        self.assertEqual({}, admission.shares)
+
     def test_a_route_that_moved_is_not_limited_by_its_former_service(self):
         """Stale costs would reject its requests without need."""
         clock = Clock()
