--- a/flamingosail/proxy/policy/quota.py
+++ b/flamingosail/proxy/policy/quota.py
@@ -14,6 +14,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import lru_cache
 from math import inf
 
 from msgspec import Struct
@@ -78,11 +79,13 @@
     views: list[int]
 
 
+@lru_cache(maxsize=4096)
 def node_id(address: str) -> int:
     """Return the number by which nodes name the node at an address."""
     return xxh3_64_intdigest(address.encode())
 
 
+@lru_cache(maxsize=256)
 def view_digest(members: View) -> int:
     """Return a number that identifies a set of nodes."""
     return xxh3_64_intdigest(
--- a/flamingosail/proxy/transport/callrecovery.py
+++ b/flamingosail/proxy/transport/callrecovery.py
@@ -26,10 +26,10 @@
     "UnconfirmedReplies",
 ]
 
-# Interval at which connections with pending calls are checked. A probe is sent
-# to a node from which nothing has been heard for PROBE_SECONDS, and without an
-# answer after SILENT_SECONDS its connection is taken to be silent.
-CHECK_SECONDS = 0.1
+# Interval at which connections are checked while calls are pending. A probe is
+# sent to a node from which nothing has been heard for PROBE_SECONDS, and
+# without an answer after SILENT_SECONDS its connection is taken to be silent.
+CHECK_SECONDS = 0.2
 PROBE_SECONDS = 0.15
 SILENT_SECONDS = 0.3
 # A check that comes later than this says nothing of other nodes: this one
--- a/flamingosail/proxy/transport/hopconnection.py
+++ b/flamingosail/proxy/transport/hopconnection.py
@@ -577,6 +577,7 @@
         if now - self.last_ping_at >= peer.busy_ping_seconds:
             self.ping(now)
         self.silence.call_sent(now)
+        self.table.check_soon()
         head_index, fields["head"] = self.sent_headers.pack(fields["head"])
         self.send(Call(**fields, stream=stream, head_index=head_index))
 
--- a/flamingosail/proxy/transport/peer.py
+++ b/flamingosail/proxy/transport/peer.py
@@ -181,6 +181,7 @@
             self.candidate = None
         if connection.pending:
             self.recovering.add(connection, now)
+            self.table.check_soon()
         else:
             self.recovering.connections.pop(connection.token, None)
         if self.connection is connection:
--- a/flamingosail/proxy/transport/peers.py
+++ b/flamingosail/proxy/transport/peers.py
@@ -139,9 +139,8 @@
         self.last_aggregate_at = 0.0
         self.loop = LoopingCall(self.tick)
         self.loop.clock = reactor
-        self.checked_at = 0.0
-        self.check_loop = LoopingCall(self.check_connections)
-        self.check_loop.clock = reactor
+        self.check_timer = None
+        self.check_due = 0.0
 
     def buildProtocol(self, addr):  # noqa: N802 - named by twisted
         """Return the protocol of an accepted connection."""
@@ -150,8 +149,6 @@
     def start(self):
         """Start to dial and ping the peers."""
         self.loop.start(TICK_SECONDS, now=True).addErrback(self.tick_failed)
-        if not self.check_loop.running:
-            self.check_loop.start(CHECK_SECONDS, now=False)
 
     def tick_failed(self, failure):
         """Restart the loop: a node that stops pinging loses all its peers."""
@@ -163,23 +160,37 @@
         self.spread.stop()
         if self.loop.running:
             self.loop.stop()
-        if self.check_loop.running:
-            self.check_loop.stop()
+        if self.check_timer is not None:
+            self.check_timer.cancel()
+            self.check_timer = None
+
+    def check_soon(self):
+        """Check the connections after an interval; calls are pending."""
+        if self.check_timer is None:
+            self.check_due = self.clock.seconds() + CHECK_SECONDS
+            self.check_timer = self.clock.callLater(
+                CHECK_SECONDS, self.check_connections
+            )
 
     def check_connections(self):
         """Look for silent connections, and end calls that stay in doubt."""
+        self.check_timer = None
         now = self.clock.seconds()
-        late = now - self.checked_at > LATE_CHECK_SECONDS
-        self.checked_at = now
+        late = now - self.check_due > LATE_CHECK_SECONDS
+        pending = False
         for peer in list(self.peers.values()):
             connection = peer.connection
             if connection is not None and connection.pending:
+                pending = True
                 if late:
                     connection.silence.restart(now)
                 else:
                     connection.check_silence(now)
             if peer.recovering.connections:
+                pending = True
                 peer.recovering.expire(now)
+        if pending:
+            self.check_soon()
 
     def tick(self):
         """Ping or dial each peer and exchange load reports."""
