Keep return times and admission as before without client accounts

Cause: reservations for returning clients, and the return times that belong to them, took effect in every deployment. What is new is to take effect only where a configuration asks for it.

Ruled out: a setting of its own; the floors and account shares beside it are switched by the accounts as well.

Change: a refused request without an account gets the return time that it got before, and no reservation. A new test fails on the code before; the test of a returning client now has an account.

--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -307,20 +307,14 @@
         admitted = self.admission.admit(
             key,
             account=account,
-            returning=len(self.returns) > 0
+            returning=request.tenant is not None
+            and len(self.returns) > 0
             and self.returns.redeem(self.return_identity(request)),
         )
         self.meter.record_arrival(key, admitted=admitted, account=account)
         if not admitted:
             request.done = True
-            age = self.clock.seconds() - exchange.arrived_at
-            wait = self.returns.invite(
-                key,
-                self.return_identity(request),
-                share=self.admission.shares[key],
-                remaining=client_seconds(request) - age,
-                target=route.target_seconds,
-            )
+            wait = self.invite(request)
             self.metrics.count("requests_not_admitted", route.name)
             self.decisions.failure(
                 "not admitted",
@@ -339,6 +333,23 @@
             exchange.respond(503, RETRY_AFTER_HEADER % wait, b"")
         return admitted
 
+    def invite(self, request: ForwardedRequest) -> float:
+        """Return in how many seconds a refused client should come back.
+
+        Clients of accounts may get a reservation; see ``ReturningClients``.
+        """
+        now = self.clock.seconds()
+        if request.tenant is None:
+            return self.retry_after_seconds(request.deadline - now)
+        age = now - request.exchange.arrived_at
+        return self.returns.invite(
+            request.root_route,
+            self.return_identity(request),
+            share=self.admission.shares[request.root_route],
+            remaining=client_seconds(request) - age,
+            target=request.route.target_seconds,
+        )
+
     def fingerprint(self, request: ForwardedRequest) -> int:
         """Return the identity of a request, whatever its id."""
         return request_fingerprint(
@@ -347,8 +358,7 @@
 
     def return_identity(self, request: ForwardedRequest) -> int:
         """Return by what a refused request is known when it comes back."""
-        tenant = request.tenant and request.tenant.name
-        return hash((self.fingerprint(request), tenant))
+        return hash((self.fingerprint(request), request.tenant.name))
 
     def parent_of(self, exchange: Exchange) -> Job | None:
         """Return the request at our server that made this call, if any.
@@ -637,14 +647,17 @@
 
     def retry_after_header(self, remaining: float) -> bytes:
         """Return Retry-After for a request with ``remaining`` seconds left."""
+        return RETRY_AFTER_HEADER % self.retry_after_seconds(remaining)
+
+    def retry_after_seconds(self, remaining: float) -> float:
+        """Return the time after which a client may come back."""
         longest = min(
             MAX_RETRY_AFTER_SECONDS,
             max(0.0, remaining) * MAX_RETRY_AFTER_SHARE,
         )
-        seconds = max(
+        return max(
             MIN_RETRY_AFTER_SECONDS, longest * self.random.uniform(0.3, 1.0)
         )
-        return RETRY_AFTER_HEADER % seconds
 
     def respond(
         self, request: ForwardedRequest, status: int, head: bytes, body: bytes
