Compute nothing for a concurrency limit that is not learnt

Ruled out: a cache of the usable slots, which change with each report.

Change: the gate asks first whether the limit is learnt.

tests/test_proxy_gate.py, _concurrency and _uneven_demand pass.

--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -253,9 +253,10 @@
         job.incarnation = self.server.report.incarnation
         self.running[job.request_id] = job
         job.running_at_start = len(self.running)
-        self.server.concurrency.record_use(
-            job.running_at_start, self.usable_slots
-        )
+        if self.server.concurrency.enabled:
+            self.server.concurrency.record_use(
+                job.running_at_start, self.usable_slots
+            )
         remaining = job.deadline - now
         parts = [
             job.request_line,
@@ -378,13 +379,14 @@
         expected = self.expected_seconds(job.root_route, job.service)
         if expected:
             self.server.speed.record(seconds, expected)
-        self.server.concurrency.record_served(
-            job.root_route,
-            seconds=seconds,
-            own_seconds=job.own_seconds(job.started + seconds),
-            concurrency=concurrency,
-            slots=self.usable_slots,
-        )
+        if self.server.concurrency.enabled:
+            self.server.concurrency.record_served(
+                job.root_route,
+                seconds=seconds,
+                own_seconds=job.own_seconds(job.started + seconds),
+                concurrency=concurrency,
+                slots=self.usable_slots,
+            )
 
     def release_slot(self, job: Job, now: float):
         """Free the slot of a request and record how long it was in use."""
