--- a/review/cluster2.py
+++ b/review/cluster2.py
@@ -37,7 +37,8 @@
 CLIENTS, SERVER, READY, PEERS, CONTROL, STORE = range(8300, 8306)
 METRICS = 9464
 START_SECONDS = 30.0
-EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
+# Python itself exits with 1 after an error; ``run.sh`` turns 10 into 1.
+EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 10, 2
 
 
 class NotRunError(Exception):
@@ -139,14 +140,20 @@
     async def deregister(self) -> int:
         """Say that this server leaves; return the status."""
         self.healthy = False
-        return await self.tell("Deregister", b"")
+        return await self.tell(
+            "Deregister", json.dumps({"born": self.born}).encode()
+        )
 
     async def tell(self, call: str, body: bytes) -> int:
         """Make a call to the node of this VM; return the status or 0."""
         try:
             async with asyncio.timeout(1.0):
                 status, _, _ = await Client(self.vm, CONTROL).send(
-                    "POST", f"/v1/Instances.{call}/{self.id}", body=body
+                    "POST",
+                    f"/v1/Instances.{call}/{self.id}",
+                    f"Host: {self.vm}:{CONTROL}\r\n"
+                    "Content-Type: application/json\r\n",
+                    body,
                 )
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             status = 0
@@ -159,6 +166,8 @@
                 request = await read_request(reader)
                 await self.respond(request, reader, writer)
                 await writer.drain()
+                if not self.healthy:
+                    break
         except (OSError, asyncio.IncompleteReadError):
             pass  # the node has closed the connection
         finally:
@@ -171,12 +180,15 @@
 
     async def answer(self, request: Request) -> Answer:
         """Run a request, unless it is for another server."""
+        # A server that leaves says so in its responses.
+        close = "" if self.healthy else "Connection: close\r\n"
         if request.target == "/health":
             status = 200 if self.healthy else 503
             return Answer(
-                status, head=f"Flamingosail-Instance-Id: {self.id}\r\n"
+                status,
+                head=f"{close}Flamingosail-Instance-Id: {self.id}\r\n",
             )
-        named = f"Flamingosail-Request-Id: {request.id}\r\n"
+        named = f"{close}Flamingosail-Request-Id: {request.id}\r\n"
         if request.headers.get("flamingosail-expected-instance") != self.id:
             named += f"Flamingosail-Instance-Id: {self.id}\r\n"
             return Answer(421, head=named)
@@ -503,7 +515,7 @@
         try:
             async with asyncio.timeout(110.0):
                 broken = await play(case)
-        except (NotRunError, TimeoutError, OSError) as error:
+        except Exception as error:
             case.note(f"not run: {type(error).__name__}: {error}")
             return EXIT_NOT_RUN
         finally:
