Believe a report after a restart only with proof that the server stays

What callers saw: a server had deregistered, all nodes were killed 0.1 s later, and two heartbeats arrived 4 s late.

Cause: after a restart, a report that came at least 1 s after the first one counted without an answer of the server. Reports that are delayed one by one prove no more than the first. Without a health endpoint the first one counted.

Ruled out: the first late report (its check was answered 503 and logged with "serves" false) and peers that remember the server (all had been killed).

Change: a report counts once the server has answered this process, with 200 or with a response that names no other instance and keeps its connection open, since servers that leave close theirs. From 12 s after the start, a report was sent after the start and counts by itself. Services without a health endpoint are asked with a request without an id, which servers reject unrun. A pending check is kept for 5 s.

Cost: a sound server that fails or does not answer its checks and closes each connection waits up to 12 s after a restart of its node, before 1.5 s. One that fails them but keeps connections is used 1.5 s earlier.

test_a_server_that_reports_again_is_used demanded the fault: its fake answered like a server that leaves. test_a_server_with_a_wrong_health_endpoint_is_used and test_a_server_that_reports_for_long_is_used replace it.

--- a/flamingosail/proxy/transport/backendserver.py
+++ b/flamingosail/proxy/transport/backendserver.py
@@ -53,6 +53,7 @@
     sign the response, ``instance`` is None if it did not name itself, and
     ``rate_limit`` (requests per second) is None if it did not state a limit.
     ``load`` is the ServerLoad that it stated, None if there is none.
+    ``keep_alive`` says that the server keeps the connection open.
     """
 
     __slots__ = (
@@ -65,6 +66,7 @@
         "rate_limit",
         "leaving",
         "load",
+        "keep_alive",
     )
 
     def __init__(self, **fields):
@@ -381,6 +383,7 @@
             rate_limit=self.rate_limit,
             leaving=self.leaving,
             load=self.load,
+            keep_alive=self.keep_alive,
         )
         unsent = (
             self.output.size
--- a/flamingosail/proxy/transport/servercheck.py
+++ b/flamingosail/proxy/transport/servercheck.py
@@ -1,9 +1,10 @@
 """Asks the backend server whether it serves, after a restart of its node.
 
-What a server said of its leaving is lost with the process that it told. A
-report that was delayed would make such a server look ready to the next
-process. Its health endpoint answers for the present; a server whose endpoint
-does not is used once it reports again.
+What a server said of its leaving is lost with the process that it told, and
+reports that it sent before may arrive later. A report proves that its server
+had not left when it was sent, so that it is believed in one of two cases: the
+server itself has answered this process since, or the report was sent after
+this process had started.
 """
 
 from collections.abc import Callable
@@ -18,9 +19,13 @@
 
 __all__ = ["ServerCheck"]
 
-# Reports that were held up by the network arrive together. A later report that
-# arrives at least this long after the first was sent by a living server.
-LATER_REPORT_SECONDS = 1.0
+# No report is under way for longer than this.
+MAX_REPORT_DELAY_SECONDS = 12.0
+# An answer that takes longer is given up when the next report arrives.
+ANSWER_SECONDS = 5.0
+# Without a health endpoint, a request without an id is sent to this path. The
+# server rejects it without running it.
+DEFAULT_PATH = "/"
 
 log = Logger("proxy.servercheck")
 
@@ -32,8 +37,9 @@
     the service has none, None if that is not known yet. ``on_confirmed`` is
     called with the report of a server that serves and with the response that
     confirmed it, if any, ``on_leaving`` with that of a server whose response
-    says that it leaves. ``first_order`` is the start and sequence of the first
-    report, ``first_at`` its arrival.
+    says that it leaves. ``started_at`` is when the process started, ``report``
+    the last report, and ``asked`` the one that the pending ``request`` is for,
+    sent at ``asked_at``.
     """
 
     def __init__(
@@ -50,22 +56,16 @@
         self.health_path = health_path
         self.on_confirmed = on_confirmed
         self.on_leaving = on_leaving
+        self.started_at = clock.seconds()
         self.report: ServerReport | None = None
         self.request: ServerRequest | None = None
-        self.first_order: tuple[int, int] | None = None
-        self.first_at = 0.0
+        self.asked: ServerReport | None = None
+        self.asked_at = 0.0
 
     def check(self, report: ServerReport):
         """Check a report; it replaces the one that is being checked."""
-        order = (report.start_ms, report.sequence)
-        now = self.clock.seconds()
-        if self.first_order is None:
-            self.first_order, self.first_at = order, now
         self.report = report
-        if (
-            order > self.first_order
-            and now - self.first_at >= LATER_REPORT_SECONDS
-        ):
+        if self.clock.seconds() - self.started_at >= MAX_REPORT_DELAY_SECONDS:
             self.confirm(report)
         else:
             self.ask()
@@ -81,36 +81,41 @@
         self.on_confirmed(report, response)
 
     def ask(self):
-        """Ask the server, if a report waits for its answer."""
+        """Ask the server, if a report waits for its answer.
+
+        A server that answers slowly is not asked again at once: the new
+        request would go to the end of its queue.
+        """
         report = self.report
         path = report and self.health_path(report.service)
         if path is None:
             return
-        if not path:
-            self.confirm(report)
-            return
+        now = self.clock.seconds()
         if self.request is not None:
+            if (
+                self.asked.incarnation == report.incarnation
+                and now - self.asked_at < ANSWER_SECONDS
+            ):
+                return
             self.request.abandon()
         address = str(self.pool.address)
+        self.asked, self.asked_at = report, now
         self.request = ServerRequest(
             request_id=b"",
-            data=f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode(),
+            data=f"GET {path or DEFAULT_PATH} HTTP/1.1\r\n"
+            f"Host: {address}\r\n\r\n".encode(),
             idempotent=False,
             is_head=False,
             on_end=lambda request, response, reason: self.answered(
-                report, response, reason
+                response, reason
             ),
         )
         self.pool.send(self.request)
 
-    def answered(
-        self,
-        report: ServerReport,
-        response: ServerResponse | None,
-        reason: str,
-    ):
+    def answered(self, response: ServerResponse | None, reason: str):
         """Confirm the report if the server answered that it serves."""
         self.request = None
+        report = self.report
         serves = response is not None and is_serving(report, response)
         log.info(
             "server checked",
@@ -118,6 +123,7 @@
                 "instance": report.instance,
                 "serves": serves,
                 "status": response and response.status,
+                "keep_alive": response and response.keep_alive,
                 "cause": reason,
             },
         )
@@ -128,16 +134,15 @@
 
 
 def is_serving(report: ServerReport, response: ServerResponse) -> bool:
-    """Return whether a response of the health endpoint confirms a report.
+    """Return whether a response proves that the reported server stays.
 
-    A server without a free slot rejects the check like any other request; it
-    is serving.
+    The responses of a server that leaves close their connections. One that
+    keeps it open is proof, whatever its status: health endpoints fail for a
+    moment, and servers without a free slot reject the check.
     """
-    if response.leaving:
+    if response.leaving or not names_instance(report, response):
         return False
-    return response.not_executed or (
-        response.status == 200 and names_instance(report, response)
-    )
+    return response.status == 200 or response.keep_alive
 
 
 def is_leaving(report: ServerReport, response: ServerResponse) -> bool:
--- a/tests/proxyfakes.py
+++ b/tests/proxyfakes.py
@@ -174,6 +174,7 @@
         "rate_limit": None,
         "leaving": False,
         "load": None,
+        "keep_alive": False,
     }
     return ServerResponse(**{**fields, **changes})
 
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -47,12 +47,54 @@
         self.answer(503)
         self.assertEqual("absent", self.gate.server.state)
 
-    def test_a_server_that_reports_again_is_used(self):
-        """Its health endpoint may be wrong."""
+    def test_late_reports_of_a_server_that_left_are_not_trusted(self):
+        """Reports that were delayed one by one arrive one by one."""
+        for sequence in range(1, 6):
+            self.gate.server.handle_report(make_report(sequence=sequence))
+            self.answer(503)
+            self.clock.advance(1.5)
+            self.assertEqual("absent", self.gate.server.state)
+
+    def test_a_server_without_health_endpoint_that_left_is_not_trusted(self):
+        """Its refusal of a request without an id says that it leaves."""
+        self.path = ""
         self.gate.server.handle_report(make_report())
-        self.answer(503)
-        self.clock.advance(1.5)
-        self.gate.server.handle_report(make_report(sequence=2))
+        self.assertIn(b"GET / HTTP/1.1\r\n", self.pool.sent[-1].data)
+        self.pool.sent[-1].finish(make_response(status=400, not_executed=True))
+        self.assertEqual("absent", self.gate.server.state)
+
+    def test_a_server_with_a_wrong_health_endpoint_is_used(self):
+        """It keeps its connections, so that it does not leave."""
+        self.gate.server.handle_report(make_report())
+        self.answer(503, keep_alive=True)
+        self.assertEqual("ready", self.gate.server.state)
+
+    def test_a_server_that_reports_for_long_is_used(self):
+        """Its health endpoint is wrong and closes each connection."""
+        for sequence in range(1, 9):
+            self.gate.server.handle_report(make_report(sequence=sequence))
+            self.answer(503)
+            self.clock.advance(1.5)
+        self.gate.server.handle_report(make_report(sequence=9))
+        self.assertEqual("ready", self.gate.server.state)
+
+    def test_a_slow_server_is_asked_once(self):
+        """Asking again would move the check to the end of its queue."""
+        for sequence in (1, 2, 3):
+            self.gate.server.handle_report(make_report(sequence=sequence))
+            self.clock.advance(1.5)
+        self.assertEqual(1, len(self.pool.sent))
+        self.answer(200)
+        self.assertEqual("ready", self.gate.server.state)
+        self.assertEqual(3, self.gate.server.report.sequence)
+
+    def test_a_silent_server_is_asked_again(self):
+        """The first check may have been lost."""
+        for sequence in range(1, 6):
+            self.gate.server.handle_report(make_report(sequence=sequence))
+            self.clock.advance(1.5)
+        self.assertEqual(2, len(self.pool.sent))
+        self.answer(200)
         self.assertEqual("ready", self.gate.server.state)
 
     def test_a_repeated_report_confirms_nothing(self):
@@ -93,7 +135,7 @@
 
     def test_a_full_server_is_used(self):
         self.gate.server.handle_report(make_report())
-        self.answer(503, not_executed=True)
+        self.answer(503, not_executed=True, keep_alive=True)
         self.assertEqual("ready", self.gate.server.state)
 
     def test_a_check_waits_for_the_configuration(self):
@@ -102,6 +144,9 @@
         self.assertEqual([], self.pool.sent)
         self.path = ""
         self.gate.server.check.ask()
+        self.pool.sent[-1].finish(
+            make_response(status=400, not_executed=True, keep_alive=True)
+        )
         self.assertEqual("ready", self.gate.server.state)
 
     def test_a_server_that_drains_already_gets_nothing(self):
