Lend shares of quotas only where the members are known

Cause: a node divided its zone's part by the nodes that it had heard of, and 3 s after its start it took itself for the only one. The list of members was in the store only, so that nobody told the restarted nodes of each other.

Ruled out: full buckets (the excess would end after a burst) and tokens lent twice between zones (4 nodes x 20 a second + 40 of the others x 5 s = 600).

Change: a node lends once it has read all members after its own record was there, or once a node that knows them has told it, and 1 s has passed. A node that does not know them asks the nodes that dial it again (MembersPull). Both messages are new; nothing is sent where the store can be read.

Cost: a node that can neither read the members nor reach a node that knows them serves accounts with a quota from what other zones spare, or not at all. Where the store can be read the members are known within the 3 s in which a node lends nothing anyway.

Tests: test_nodes_that_do_not_know_each_other_mint_nothing and test_nodes_that_learn_of_each_other_late_share_the_quota fail if every node is taken to know the members, as before.

--- a/flamingosail/proxy/node.py
+++ b/flamingosail/proxy/node.py
@@ -177,6 +177,7 @@
             failure_domains=config.failure_domains,
             first_start=config.first_start,
             peers=lambda: self.peers.peers.values(),
+            members_known=lambda: self.peers.member_spread.complete,
             metrics=self.metrics,
             boot_time=lease_clock,
         )
@@ -254,6 +255,7 @@
                 peer.connection is not None
                 for peer in self.peers.peers.values()
             ),
+            members_known=lambda: int(self.peers.member_spread.complete),
             config_version=self.config_version,
             config_version_known=self.known_config_version,
             config_behind_seconds=self.peers.spread.behind_seconds,
--- a/flamingosail/proxy/policy/quota.py
+++ b/flamingosail/proxy/policy/quota.py
@@ -151,12 +151,12 @@
 
     ``current`` is the set in use, ``former`` has those that were replaced
     lately, with the time of that. ``lends_from`` is when this node begins to
-    lend its share; before, it may not know the other nodes yet.
+    lend its share: infinite until it knows the other nodes.
     """
 
-    def __init__(self, *, own_id: int, lends_from: float):
+    def __init__(self, *, own_id: int):
         self.own_id = own_id
-        self.lends_from = lends_from
+        self.lends_from = inf
         self.current: View = (own_id,)
         self.former: list[tuple[float, View]] = []
         self.reached_at: dict[int, float] = {}
--- a/flamingosail/proxy/shared/quotas.py
+++ b/flamingosail/proxy/shared/quotas.py
@@ -46,9 +46,13 @@
 # long before it asks again, so that one tenant far over its quota does not
 # occupy its holder.
 REFUSED_PAUSE_SECONDS = 0.05
-# A node that starts does not lend its share before it knows the other nodes.
+# A node that starts lends its share after this time at the earliest, since
+# the leases of its former process have to end.
 START_SECONDS = 3.0
 FIRST_START_SECONDS = 1.0
+# Nor does it lend before it knows the other nodes, and has given those that do
+# not know it yet this time to connect to it.
+JOIN_SECONDS = 1.0
 LOG_INTERVAL_SECONDS = 10.0
 LOGGED_TENANTS = 10
 # Further tenants share the label "other".
@@ -111,7 +115,9 @@
     """Draws tokens for requests, and answers the asks of other nodes.
 
     ``peers`` returns the known nodes. ``failure_domains`` are the names of
-    all failure domains. ``on_decision`` is called with a request that waited,
+    all failure domains. ``members_known`` returns whether ``peers`` has all
+    nodes; nothing is lent before, since the share of this node depends on
+    their number. ``on_decision`` is called with a request that waited,
     a Draw and the seconds for Retry-After. ``boot_time`` returns the seconds
     since boot with those in which the machine was suspended.
     """
@@ -127,6 +133,7 @@
         first_start: bool,
         peers: Callable[[], Iterable],
         metrics: NodeMetrics,
+        members_known: Callable[[], bool] = lambda: True,
         boot_time: Callable[[], float] | None = None,
     ):
         self.clock = clock
@@ -134,15 +141,18 @@
         self.failure_domain = failure_domain
         self.other_domains = sorted(set(failure_domains) - {failure_domain})
         self.peers = peers
+        self.members_known = members_known
         self.metrics = metrics
         self.boot_time = boot_time or clock.seconds
         self.on_decision: Callable = lambda request, draw, retry_after: None
         self.tenants: TenantTable | None = None
         now = clock.seconds()
-        start = FIRST_START_SECONDS if first_start else START_SECONDS
+        self.lends_from = now + (
+            FIRST_START_SECONDS if first_start else START_SECONDS
+        )
         self.own_id = node_id(own_address)
         self.choice = HolderChoice()
-        self.views = NodeViews(own_id=self.own_id, lends_from=now + start)
+        self.views = NodeViews(own_id=self.own_id)
         self.book = HolderBook(
             views=self.views,
             choice=self.choice,
@@ -198,6 +208,8 @@
         self.far_views = {
             domain: tuple(sorted(members)) for domain, members in far.items()
         }
+        if self.views.lends_from == inf and self.members_known():
+            self.views.lends_from = max(self.lends_from, now + JOIN_SECONDS)
         self.views.update(reached, leaving, now)
         self.book.known = 1 + near
         self.book.recount(now)
--- a/flamingosail/proxy/transport/hop.py
+++ b/flamingosail/proxy/transport/hop.py
@@ -30,6 +30,8 @@
     "HeaderTable",
     "Hello",
     "MAX_FRAME_BYTES",
+    "Members",
+    "MembersPull",
     "Message",
     "Outcome",
     "Ping",
@@ -338,6 +340,19 @@
     members: list[int]
 
 
+class MembersPull(Struct, tag=14, array_like=True, gc=False):
+    """Asks for the members, if the receiver knows all of them."""
+
+
+class Members(Struct, tag=15, array_like=True, gc=False):
+    """Reply to a MembersPull: the address and failure domain of each node.
+
+    The failure domain is empty if the sender does not know it.
+    """
+
+    entries: list[tuple[str, str]]
+
+
 Message = Union[  # noqa: UP007 - msgspec needs the runtime type
     Call,
     Reply,
@@ -356,6 +371,8 @@
     QuotaAsk,
     QuotaGrant,
     QuotaView,
+    MembersPull,
+    Members,
 ]
 _encoder = Encoder()
 _decoder = Decoder(Message)
--- a/flamingosail/proxy/transport/hopconnection.py
+++ b/flamingosail/proxy/transport/hopconnection.py
@@ -24,6 +24,8 @@
 from flamingosail.proxy.transport.hop import FrameBuffer
 from flamingosail.proxy.transport.hop import HeaderTable
 from flamingosail.proxy.transport.hop import Hello
+from flamingosail.proxy.transport.hop import Members
+from flamingosail.proxy.transport.hop import MembersPull
 from flamingosail.proxy.transport.hop import Outcome
 from flamingosail.proxy.transport.hop import Ping
 from flamingosail.proxy.transport.hop import Pong
@@ -304,6 +306,8 @@
             self.table.send_config(self, message.version)
         elif kind is ConfigCopy:
             self.table.receive_config(message.document, near=self.near)
+        elif kind is MembersPull:
+            self.table.member_spread.reply(self)
 
     def handle_call(self, call: Call):
         """Submit a call to the gate."""
@@ -549,6 +553,8 @@
             self.table.receive_config(message.document, near=self.near)
         elif kind is QuotaGrant:
             self.table.quotas.handle_grant(message)
+        elif kind is Members:
+            self.table.member_spread.receive(message)
 
     def mark_alive(self):
         """Record that the peer is alive."""
--- a/flamingosail/proxy/transport/peers.py
+++ b/flamingosail/proxy/transport/peers.py
@@ -27,6 +27,7 @@
 from flamingosail.proxy.shared.loadreports import aggregate_by_service
 from flamingosail.proxy.shared.loadreports import AGGREGATE_INTERVAL_SECONDS
 from flamingosail.proxy.shared.loadreports import LoadReports
+from flamingosail.proxy.shared.memberspread import MemberSpread
 from flamingosail.proxy.shared.quotas import QuotaExchange
 from flamingosail.proxy.shared.servers import LocalServer
 from flamingosail.proxy.shared.storeera import StoreEra
@@ -70,11 +71,12 @@
     ``held`` counts what is held for other nodes, ``hops`` are the open
     connections to them, ``inbound`` the accepted ones, ``inbound_by_token``
     also those that closed lately, ``by_service`` the servers that are not
-    absent, ``spread`` the exchange of configurations. ``quotas`` exchanges
-    tokens of tenants. ``reaches_store`` is false if this node's last call to
-    the metadata store failed, ``store_era`` is the era of that store,
-    ``freshness`` the lease on the configuration. Near peers are in the failure
-    domain of this node, far peers in others.
+    absent, ``spread`` the exchange of configurations, ``member_spread`` that
+    of the known nodes. ``quotas`` exchanges tokens of tenants.
+    ``reaches_store`` is false if this node's last call to the metadata store
+    failed, ``store_era`` is the era of that store, ``freshness`` the lease on
+    the configuration. Near peers are in the failure domain of this node, far
+    peers in others.
     """
 
     noisy = False
@@ -126,6 +128,12 @@
             peers=lambda: self.peers.values(),
             connections=self.connections,
         )
+        self.member_spread = MemberSpread(
+            random=random,
+            own=(own_address, local.failure_domain),
+            peers=lambda: self.peers.values(),
+            add=self.add_member,
+        )
         self.freshness = freshness or Freshness(
             seconds=reactor.seconds, config_version=config_version
         )
@@ -199,6 +207,7 @@
         self.renew_lease()
         self.own_report = self.load_report()
         self.local.refresh()
+        self.member_spread.pull()
         self.quotas.tick()
         for peer in list(self.peers.values()):
             peer.tick(now)
@@ -322,6 +331,16 @@
             peer.next_dial_at = 0.0
             peer.dial(self.clock.seconds())
 
+    def add_member(self, address: Address, failure_domain: str):
+        """Add a node that another one knows, with its failure domain."""
+        if address == self.own_address or address in self.peers:
+            return
+        self.add(address)
+        peer = self.peers[address]
+        peer.failure_domain = failure_domain
+        peer.near = failure_domain == self.local.failure_domain
+        self.update_ping_intervals()
+
     def remove(self, address: Address):
         """Remove a node whose record was deleted, unless it is connected."""
         peer = self.peers.get(address)
--- a/tests/quotacluster.py
+++ b/tests/quotacluster.py
@@ -60,15 +60,26 @@
 
 
 class Node:
-    """A node with its links; ``cut`` means that it reaches no other one."""
+    """A node with its links.
+
+    ``cut`` means that it reaches no other one, ``knows_members`` that it has
+    learnt of all others; before, it only knows those of other domains.
+    """
 
     def __init__(self, *, address: str, failure_domain: str):
         self.address = address
         self.failure_domain = failure_domain
         self.cut = False
+        self.knows_members = True
         self.links = []
         self.quotas = None
 
+    def known_links(self) -> list[Link]:
+        """Return the links to the nodes that this one knows."""
+        return [
+            link for link in self.links if self.knows_members or not link.near
+        ]
+
 
 class Cluster:
     """Nodes in failure domains, on a clock that the test advances.
@@ -117,7 +128,8 @@
             failure_domain=node.failure_domain,
             failure_domains=self.domains,
             first_start=first_start,
-            peers=lambda: node.links,
+            peers=node.known_links,
+            members_known=lambda: node.knows_members,
             metrics=NodeMetrics(),
         )
         node.quotas.on_decision = self.decided
@@ -174,7 +186,7 @@
         for node in self.nodes:
             node.quotas.tick()
         for node in self.nodes:
-            for link in node.links:
+            for link in node.known_links():
                 other = link.target.quotas
                 if link.near and link.usable:
                     lease = node.quotas.lease(other.handle_view, set())
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -50,7 +50,12 @@
 
 
 class FakeStore:
-    """A topic of records; ``failures`` are raised by the next calls."""
+    """A topic of records; ``failures`` are raised by the next calls.
+
+    ``at_end`` is what reads say of their last position.
+    """
+
+    at_end = False
 
     def __init__(self):
         self.records = []
@@ -74,7 +79,7 @@
         return self.respond("read", (records, self.end()))
 
     def end(self) -> Position:
-        return Position(era=0, offset=len(self.records))
+        return Position(era=0, offset=len(self.records), at_end=self.at_end)
 
     def append(self, topic, record):
         self.records.append(record)
@@ -259,6 +264,30 @@
         self.member_watch(2).run()
         self.assertIn((2, 1), self.received)
 
+    def test_the_members_are_known_once_all_are_read(self):
+        """A node that has not read them would take itself for the only one."""
+        self.store.failures = [StoreUnavailable("busy")] * 2
+        complete = []
+        self.store.at_end = True
+        watch = self.member_watch(1)
+        watch.on_complete = lambda: complete.append(self.clock.seconds())
+        watch.run()
+        self.clock.pump([0.1] * 5)
+        self.assertEqual([], complete)
+        self.clock.pump([0.1] * 20)
+        self.assertEqual(1, len(complete))
+
+    def test_members_without_the_own_record_are_not_all(self):
+        """Nodes that join later would not know this one."""
+        complete = []
+        self.store.at_end = True
+        watch = self.member_watch(1)
+        watch.on_complete = lambda: complete.append(True)
+        watch.write_own_record = lambda: fail(StoreUnavailable("busy"))
+        watch.run()
+        self.clock.pump([0.5] * 8)
+        self.assertEqual([], complete)
+
     def test_a_restarted_node_does_not_renew_a_fresh_record(self):
         self.member_watch(1).run()
         self.member_watch(1).run()
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -22,10 +22,13 @@
 from flamingosail.proxy.transport.hop import Evidence
 from flamingosail.proxy.transport.hop import FrameBuffer
 from flamingosail.proxy.transport.hop import Hello
+from flamingosail.proxy.transport.hop import Members
+from flamingosail.proxy.transport.hop import MembersPull
 from flamingosail.proxy.transport.hop import Ping
 from flamingosail.proxy.transport.hop import Pong
 from flamingosail.proxy.transport.hop import ServerTerms
 from flamingosail.proxy.transport.hop import Status
+from flamingosail.proxy.transport.hopconnection import InboundConnection
 from flamingosail.proxy.transport.peer import Peer
 from flamingosail.proxy.transport.peers import PeerTable
 from flamingosail.proxy.transport.peers import TICK_SECONDS
@@ -125,6 +128,51 @@
         """Answer a ping as a peer with this digest of its evidence."""
         self.receive(peer, Pong(0, 0, 10, 1, True, 100, 0, digest))
 
+    def test_a_node_that_cannot_read_the_members_asks_for_them(self):
+        """Nodes of a restarted domain would only know those of others."""
+        far = self.connect("10.0.2.1", "fd-b")
+        self.run_for(0.5, far)
+        self.table.tick()
+        self.assertEqual(1, len(self.pop_sent(far, MembersPull)))
+        self.receive(
+            far,
+            Members(
+                [
+                    ("10.0.2.1:80", "fd-b"),
+                    (str(OWN), "fd-a"),
+                    ("10.0.0.6:80", "fd-a"),
+                    ("10.0.3.1:80", ""),
+                ]
+            ),
+        )
+        self.assertEqual(
+            {"10.0.2.1": "fd-b", "10.0.0.6": "fd-a", "10.0.3.1": ""},
+            {
+                address.host: peer.failure_domain
+                for address, peer in self.table.peers.items()
+            },
+        )
+        self.assertTrue(self.table.peers[Address("10.0.0.6", 80)].near)
+        self.assertTrue(self.table.member_spread.complete)
+        self.table.tick()
+        self.assertEqual([], self.pop_sent(far, MembersPull))
+
+    def test_only_a_node_that_knows_the_members_tells_them(self):
+        """What a restarted node has heard of is a part of them."""
+        self.connect("10.0.2.1", "fd-b")
+        asking = InboundConnection(table=self.table)
+        transport = ClosingTransport()
+        asking.makeConnection(transport)
+        transport.clear()
+        asking.dataReceived(encode_frame(MembersPull()))
+        self.assertEqual(b"", transport.value())
+        self.table.member_spread.confirm("store")
+        asking.dataReceived(encode_frame(MembersPull()))
+        (members,) = FrameBuffer().feed(transport.value())
+        self.assertEqual(
+            [(str(OWN), "fd-a"), ("10.0.2.1:80", "fd-b")], members.entries
+        )
+
     def test_many_far_peers_without_calls_are_pinged_less_often(self):
         near = self.connect("10.0.0.6", "fd-a")
         far = [self.connect(f"10.0.2.{n}", "fd-b") for n in range(64)]
--- a/tests/test_proxy_quota.py
+++ b/tests/test_proxy_quota.py
@@ -179,6 +179,45 @@
         self.assertLess(cluster.total_refused(), 0.01 * 180 * 4)
         self.assert_kept(cluster)
 
+    def test_nodes_that_do_not_know_each_other_mint_nothing(self):
+        """Failure: a domain restarts and cannot read the members.
+
+        Each of its nodes took itself for the only one of its domain.
+        """
+        cluster = Cluster(
+            domains={"a": 4, "b": 4, "c": 4}, tenants=[make_tenant(60, 60)]
+        )
+        cluster.advance(START_SECONDS)
+        restarted = cluster.nodes[:4]
+        for node in restarted:
+            node.knows_members = False
+            cluster.start(node)
+        cluster.advance(START_SECONDS)
+        cluster.play({"t": 240}, 8.0, nodes=restarted)
+        self.assert_kept(cluster)
+        # The tenant lives on what the other two domains mint.
+        self.assertGreaterEqual(len(cluster.sent["t"]), 0.5 * 60 * 8)
+
+    def test_nodes_that_learn_of_each_other_late_share_the_quota(self):
+        """Failure: the members become readable at different times."""
+        cluster = Cluster(
+            domains={"a": 4, "b": 4, "c": 4}, tenants=[make_tenant(60, 60)]
+        )
+        cluster.advance(START_SECONDS)
+        restarted = cluster.nodes[:4]
+        for node in restarted:
+            node.knows_members = False
+            cluster.start(node)
+        cluster.advance(START_SECONDS)
+        for node in restarted:
+            cluster.play({"t": 240}, 0.7, nodes=restarted)
+            node.knows_members = True
+        cluster.play({"t": 240}, 10.0, nodes=restarted)
+        self.assert_kept(cluster)
+        now = cluster.clock.seconds()
+        shares = [node.quotas.book.share("t", now) for node in restarted]
+        self.assertEqual(1.0, sum(shares))
+
     def test_a_lower_limit_binds_at_once(self):
         """Failure: a full bucket and its surplus would exceed a lower limit.
 
