Take no part of the retry minimum before the members are known

A node that knows nobody took all of it, and 25 retries at once for each service.

A node that reaches nobody has no second server to retry at; a restarted zone of 4 that knows 8 others takes 4/9 of the minimum instead of 4/12.

Change: until the members are known the number of nodes is infinite. What requests earn is paid as before.

Cost: one retry at once for each service, and those that traffic earns, until the members are known, which takes less than a second where the store can be read.

test_it_does_not_take_the_minimum_of_all_nodes fails without the change.

--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -145,7 +145,7 @@
 
     def update_admission(self, reports: list[LoadReport]):
         """Recompute the admitted shares from all nodes' load reports."""
-        self.budget.update(1 + len(self.peers.peers))
+        self.budget.update(self.peers.node_count())
         before = self.admission.limiting_services
         self.returns.expire()
         self.admission.compute_shares(reports, self.priorities)
--- a/flamingosail/proxy/policy/budget.py
+++ b/flamingosail/proxy/policy/budget.py
@@ -91,10 +91,11 @@
         self.updated_at = clock.seconds()
         self.update(1)
 
-    def update(self, nodes: int):
+    def update(self, nodes: float):
         """Divide the minimum among ``nodes`` nodes and decay saved tokens.
 
-        Must be called at least once a second.
+        Must be called at least once a second. While the number of nodes is
+        not known, it is infinite.
         """
         now = self.clock.seconds()
         factor = exp((self.updated_at - now) / WINDOW_SECONDS)
--- a/flamingosail/proxy/transport/peers.py
+++ b/flamingosail/proxy/transport/peers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from heapq import nsmallest
+from math import inf
 from random import Random
 
 from logbook import Logger
@@ -394,6 +395,14 @@
             if peer.connection is not None:
                 peer.connection.announce_evidence(news)
 
+    def node_count(self) -> float:
+        """Return the number of nodes; infinite until the members are known.
+
+        What is divided among all nodes may not be divided by those that were
+        heard of so far.
+        """
+        return 1 + len(self.peers) if self.member_spread.complete else inf
+
     def set_reaches_store(self, reachable: bool):
         """Record whether the last call to the metadata store succeeded."""
         self.reaches_store = reachable
--- a/tests/test_proxy_budget.py
+++ b/tests/test_proxy_budget.py
@@ -4,8 +4,11 @@
 
 from testtools import TestCase
 from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
 
 from flamingosail.proxy.policy.budget import RetryBudget
+from flamingosail.settings import Address
+from tests.proxyfakes import make_node
 
 __all__ = []
 
@@ -161,6 +164,34 @@
         self.assertEqual(1, sum(granted))
 
 
+class UnknownMembersTest(TestCase):
+    """Failure: a node restarts and cannot read who the other nodes are."""
+
+    def setUp(self):
+        super().setUp()
+        self.node = make_node(MemoryReactorClock(), lambda document: None)
+
+    def retries(self) -> int:
+        """Return how many retries a service without traffic gets at once."""
+        self.node.forwarder.update_admission([])
+        budget = self.node.forwarder.budget
+        return sum(
+            budget.try_spend("deep", priority=0, progressed=True)
+            for _ in range(100)
+        )
+
+    def test_it_does_not_take_the_minimum_of_all_nodes(self):
+        """Nodes that do not know each other each took half of it."""
+        self.assertEqual(1, self.retries())
+
+    def test_it_takes_its_part_once_it_knows_them(self):
+        for number in range(6, 9):
+            self.node.peers.add(Address(f"10.0.0.{number}", 80))
+        self.node.peers.member_spread.confirm("store")
+        minimum = self.node.config.retry_minimum
+        self.assertEqual(minimum * 1.1 / 4 / 2 // 1, self.retries())
+
+
 class EarningsTest(TestCase):
     """Guards against a budget that is empty when it is needed."""
 
