Judge a request that waited by the configuration it came in with

What callers saw: a configuration dropped a route while requests to it waited for their quota.

Cause: when its token arrived, the priority of the request was looked up in the configuration in force, which raised KeyError. The number of open requests had been reduced before, and was reduced again at the deadline; the account stayed marked as asking, and the connection to the holder was closed.

Change: the priority follows from the request's own route and account. Open requests are a set, which a request enters and leaves once.

--- a/flamingosail/proxy/forward.py
+++ b/flamingosail/proxy/forward.py
@@ -28,6 +28,7 @@
 from flamingosail.proxy.policy.quarantine import Verdict
 from flamingosail.proxy.policy.requestclass import class_key
 from flamingosail.proxy.policy.requestclass import class_priorities
+from flamingosail.proxy.policy.requestclass import request_priority
 from flamingosail.proxy.policy.returns import ReturningClients
 from flamingosail.proxy.shared.quotas import Draw
 from flamingosail.proxy.shared.routes import ClientLimits
@@ -85,6 +86,9 @@
 class Forwarder:
     """Handles the exchanges of clients; see ``exchange.ExchangeHandler``.
 
+    A request is judged by the configuration that was in force when it came in,
+    also if it waits for its quota meanwhile. ``open_requests`` are those that
+    wait or were sent and have not ended.
     While ``closed``, root requests are rejected and calls are still sent.
     ``ends_at`` is when the node stops answering, infinite until a stop begins.
     """
@@ -130,7 +134,7 @@
         self.access = access
         self.timeouts = Timeouts(clock=clock, on_due=self.timed_out)
         peers.quotas.on_decision = self.quota_decided
-        self.in_flight = 0
+        self.open_requests: set[ForwardedRequest] = set()
         self.closed = False
         self.ends_at = inf
 
@@ -231,8 +235,7 @@
         if self.draws_quota(request):
             draw = self.peers.quotas.draw(request.tenant, request)
             if draw is Draw.WAITING:
-                self.in_flight += 1
-                self.timeouts.add(request.deadline, request)
+                self.track(request)
                 return
         self.start(request)
 
@@ -243,10 +246,20 @@
                 self.peers.quotas.refund(request.tenant)
             return
         self.budget.record_request(request.service)
-        self.in_flight += 1
-        self.timeouts.add(request.deadline, request)
+        self.track(request)
         self.send(request, "")
 
+    def track(self, request: ForwardedRequest):
+        """Count a request as open, and end it at its deadline."""
+        if request not in self.open_requests:
+            self.open_requests.add(request)
+            self.timeouts.add(request.deadline, request)
+
+    @property
+    def in_flight(self) -> int:
+        """The number of requests that wait or were sent."""
+        return len(self.open_requests)
+
     def draws_quota(self, request: ForwardedRequest) -> bool:
         """Return whether a request counts against the quota of its tenant."""
         return (
@@ -260,7 +273,6 @@
     ):
         """Go on with a request that has waited for its quota."""
         if draw is Draw.GRANTED:
-            self.in_flight -= 1
             self.start(request)
         elif draw is Draw.UNKNOWN:
             self.fail(request, "no node has answered for the quota")
@@ -292,12 +304,12 @@
                 self.budget.charge(request.service)
             return True
         if self.closed:
-            request.done = True
+            self.close_request(request)
             self.reject_early(exchange, "the node stops")
             return False
         request.is_root = True
         key = request.root_route = class_key(route, request.tenant)
-        request.rank = 2 * self.priorities[key] + 1
+        request.rank = 2 * request_priority(route, request.tenant) + 1
         if key in self.admission.floored:
             # Queues would take back what the floor grants.
             request.rank = FLOOR_RANK
@@ -313,7 +325,7 @@
         )
         self.meter.record_arrival(key, admitted=admitted, account=account)
         if not admitted:
-            request.done = True
+            self.close_request(request)
             wait = self.invite(request)
             self.metrics.count("requests_not_admitted", route.name)
             self.decisions.failure(
@@ -630,7 +642,7 @@
         self.respond(request, 502, PROBLEM_HEAD, QUARANTINED_PROBLEM)
 
     def reject_early(self, exchange: Exchange, reason: str):
-        """Reject a request that was not counted as in flight.
+        """Reject a request that is not open.
 
         ``reason`` is also a metric label. The log and the metric say
         ``refused``.
@@ -682,14 +694,18 @@
     def record_end(self, request: ForwardedRequest, *, completed: bool):
         """Record the end of a request once."""
         if not request.done:
-            request.done = True
+            self.close_request(request)
             request.head = b""
-            self.in_flight -= 1
             if request.parent is not None:
                 request.parent.child_call_ended(self.clock.seconds())
             if request.is_root:
                 self.meter.record_end(request.root_route, completed=completed)
 
+    def close_request(self, request: ForwardedRequest):
+        """Mark a request as done; it is not open any more."""
+        request.done = True
+        self.open_requests.discard(request)
+
     def request_fields(self, request: ForwardedRequest, reason: str) -> dict:
         """Return the fields of a log line about a request."""
         return {
--- a/flamingosail/proxy/shared/quotas.py
+++ b/flamingosail/proxy/shared/quotas.py
@@ -447,9 +447,20 @@
             draws.waiting.popleft()
             served += 1
             if not request.done:
-                self.on_decision(request, Draw.GRANTED, 0.0)
+                self.decide(request, Draw.GRANTED, 0.0)
         return served
 
+    def decide(self, request, draw: Draw, retry_after: float):
+        """Go on with a request that has waited.
+
+        An error in its handling must not keep the other requests of its
+        tenant waiting, nor close the connection to the holder.
+        """
+        try:
+            self.on_decision(request, draw, retry_after)
+        except Exception:
+            log.exception("request failed after it waited for its quota")
+
     def end_ask(self, draws: TenantDraws, now: float):
         """Refuse the requests of an ask that got no token."""
         name = draws.tenant.name
@@ -467,11 +478,11 @@
                 continue
             if wait is None:
                 self.metrics.count("quota_unknown", self.label(name))
-                self.on_decision(request, Draw.UNKNOWN, 0.0)
+                self.decide(request, Draw.UNKNOWN, 0.0)
                 continue
             self.refused[name] = self.refused.get(name, 0) + 1
             self.metrics.count("quota_refused", self.label(name))
-            self.on_decision(request, Draw.OVER, wait)
+            self.decide(request, Draw.OVER, wait)
             wait = min(MAX_RETRY_AFTER_SECONDS, wait + interval)
 
     # Messages.
--- a/tests/test_proxy_peers.py
+++ b/tests/test_proxy_peers.py
@@ -26,6 +26,7 @@
 from flamingosail.proxy.transport.hop import MembersPull
 from flamingosail.proxy.transport.hop import Ping
 from flamingosail.proxy.transport.hop import Pong
+from flamingosail.proxy.transport.hop import QuotaGrant
 from flamingosail.proxy.transport.hop import ServerTerms
 from flamingosail.proxy.transport.hop import Status
 from flamingosail.proxy.transport.hopconnection import InboundConnection
@@ -173,6 +174,15 @@
             [(str(OWN), "fd-a"), ("10.0.2.1:80", "fd-b")], members.entries
         )
 
+    def test_an_error_in_one_message_does_not_close_the_connection(self):
+        """All calls to an innocent peer were in doubt."""
+        near = self.connect("10.0.0.6", "fd-a")
+        self.table.quotas.handle_grant = lambda message: 1 / 0
+        self.receive(near, QuotaGrant([]))
+        self.assertFalse(self.transports[near].aborted)
+        self.receive(near, Pong(3, 0, 10, 1))
+        self.assertEqual(3, near.running)
+
     def test_many_far_peers_without_calls_are_pinged_less_often(self):
         near = self.connect("10.0.0.6", "fd-a")
         far = [self.connect(f"10.0.2.{n}", "fd-b") for n in range(64)]
--- a/tests/test_proxy_quota_forward.py
+++ b/tests/test_proxy_quota_forward.py
@@ -1,5 +1,6 @@
 """Tests of requests that draw on a quota at the entry node."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 from flamingosail.proxy.policy.overload import route_key
@@ -150,6 +151,70 @@
         self.assertEqual(3, len(self.same_domain.calls))
         self.assertEqual([], self.sent)
 
+    def test_a_route_that_is_dropped_while_its_request_waits(self):
+        """Failure: the request raised KeyError when its token arrived.
+
+        It was then counted as ended twice, so that a stop broke off others,
+        and its tenant never asked for a token again.
+        """
+        self.submit()
+        del self.routes[b"/read/"]
+        self.configure(self.tenant)
+        self.answer(1.0)
+        self.assertEqual(1, self.forwarder.in_flight)
+        self.same_domain.end(Outcome.ANSWERED, 200)
+        self.assertEqual([200], self.statuses())
+        self.assertEqual(0, self.forwarder.in_flight)
+        self.submit(target=b"/order/1")
+        self.answer(1.0)
+        self.assertEqual(1, len(self.same_domain.calls))
+
+    def test_a_priority_that_is_dropped_while_its_request_waits(self):
+        """Failure: no account has the priority of the request any more."""
+        self.configure(replace(self.tenant, priority=2))
+        self.submit()
+        self.configure(self.tenant)
+        self.answer(1.0)
+        self.assertEqual(1, len(self.same_domain.calls))
+        self.assertEqual(1, self.forwarder.in_flight)
+
+    def test_a_request_that_waits_is_counted_once(self):
+        """Failure: one that ends after an error was counted as ended twice."""
+        self.forwarder.admit = lambda request: 1 / 0
+        self.submit()
+        self.answer(1.0)
+        self.assertEqual(1, self.forwarder.in_flight)
+        self.clock.advance(1.1)
+        self.assertEqual([503], self.statuses())
+        self.assertEqual(0, self.forwarder.in_flight)
+
+    def test_an_error_of_one_request_does_not_stop_the_others(self):
+        """Failure: its tenant asked for no token any more."""
+        admit = self.forwarder.admit
+        self.forwarder.admit = lambda request: 1 / 0
+        self.submit()
+        self.answer(1.0)
+        self.forwarder.admit = admit
+        self.submit()
+        self.answer(1.0)
+        self.assertEqual(1, len(self.same_domain.calls))
+
+    def test_a_refused_request_that_waited_is_not_in_flight(self):
+        """Load: the service is full, or the node stops meanwhile."""
+        self.forwarder.admission.shares = {route_key("r-read"): 0.0}
+        self.submit()
+        self.assertEqual(1, self.forwarder.in_flight)
+        self.answer(1.0)
+        self.assertEqual(0, self.forwarder.in_flight)
+        self.forwarder.admission.shares = {}
+        # The token that was given back has expired by then.
+        self.clock.advance(0.3)
+        self.submit()
+        self.forwarder.closed = True
+        self.answer(1.0)
+        self.assertEqual([503, 503], self.statuses())
+        self.assertEqual(0, self.forwarder.in_flight)
+
     def test_requests_of_one_turn_ask_together(self):
         """Load: a burst at one node asks with one message."""
         for _ in range(5):
