Refuse a queued request if its server was replaced by another service

Cause: the service of a request was compared with that of the server when it arrived at the gate, and not again when it left the queue. In between, the address may belong to a server of another service; the request then named that server as the expected one.

Ruled out: requests that run (their server answers by id) and held suspects (they go through the queue).

Change: the comparison is made in both places.

Cost: none; such a request is refused as not run and sent elsewhere.

test_a_queued_request_does_not_reach_a_server_of_another_service fails without the change.

--- a/flamingosail/proxy/gate.py
+++ b/flamingosail/proxy/gate.py
@@ -233,10 +233,9 @@
             return "the node stops"
         if job.request_id in self.running:
             return "a request with this id is running"
-        if report.service != job.service:
-            return "the server belongs to another service"
-        if self.server.state == "absent":
-            return "the server is leaving or down"
+        reason = self.mismatch_reason(job)
+        if reason:
+            return reason
         remaining = job.deadline - self.clock.seconds()
         if remaining < MIN_REMAINING_SECONDS:
             return "too little time is left"
@@ -246,6 +245,17 @@
             return "the queue is too long"
         return ""
 
+    def mismatch_reason(self, job: Job) -> str:
+        """Return why the server cannot get a request; empty if it can.
+
+        The server may have changed while the request was queued.
+        """
+        if self.server.report.service != job.service:
+            return "the server belongs to another service"
+        if self.server.state == "absent":
+            return "the server is leaving or down"
+        return ""
+
     def dispatch(self, job: Job):
         """Send a request to the server."""
         now = self.clock.seconds()
@@ -430,10 +440,9 @@
                 return
             job = heappop(self.queue)[3]
             self.waiting -= 1
-            if self.server.state == "absent":
-                self.fail(
-                    job, Outcome.REFUSED, "the server is leaving or down"
-                )
+            reason = self.mismatch_reason(job)
+            if reason:
+                self.fail(job, Outcome.REFUSED, reason)
             elif job.deadline - self.clock.seconds() < MIN_REMAINING_SECONDS:
                 self.fail(job, Outcome.REFUSED, "the time is over")
             else:
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -268,6 +268,18 @@
         self.pool.sent[0].finish(make_response())
         self.assertIn((b"waits", Outcome.REFUSED), self.outcomes())
 
+    def test_a_queued_request_does_not_reach_a_server_of_another_service(self):
+        """The address was given to another service while it waited."""
+        self.gate.server.handle_report(make_report(slots=1))
+        self.submit(request_id=b"running", deadline=9.0)
+        self.submit(request_id=b"waits", deadline=9.0)
+        self.gate.server.handle_report(
+            make_report(instance="i-2", service="retire", start_ms=2000)
+        )
+        self.pool.sent[0].finish(make_response())
+        self.assertEqual(1, len(self.pool.sent))
+        self.assertIn((b"waits", Outcome.REFUSED), self.outcomes())
+
     def test_a_delayed_report_does_not_undo_a_deregistration(self):
         """A restarted node knows no server when the deregistration arrives."""
         self.gate.server.handle_deregistration("i-1", 1000)
