Ask the kernel whether an answer without length was reset

Cause: ConnectionDone was taken as proof of an orderly end. The poll loop of the reactor also reports it for an error without input.

Ruled out: a length that ends the answer too early (there is none), and the hop between nodes (it happens at the server's own node as well).

Change: the connection is told of the end of its input while the socket is open, and reads the pending error, the state and the unacknowledged bytes. With a part of the request unsent or unacknowledged the answer is incomplete too.

Cost: a server that answers an upload early, without length, and closes without reading the rest gets 502 or a retry for it.

--- a/flamingosail/proxy/transport/backendserver.py
+++ b/flamingosail/proxy/transport/backendserver.py
@@ -6,8 +6,9 @@
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
 from httptools import HttpResponseParser
-from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol
+from zope.interface import implementer
 
 from flamingosail.httpclient import PEEK
 from flamingosail.httpheaders import DROPPED_HEADERS
@@ -17,6 +18,7 @@
 from flamingosail.proxy.shared.heldbytes import Holder
 from flamingosail.proxy.transport.output import OutputBuffer
 from flamingosail.sockets import disable_nagle
+from flamingosail.sockets import ended_in_order
 
 __all__ = [
     "CONNECTION_LOST",
@@ -134,6 +136,7 @@
             connector.stopConnecting()
 
 
+@implementer(IHalfCloseableProtocol)
 class ServerConnection(Protocol):
     """A keep-alive connection to the backend server.
 
@@ -191,31 +194,52 @@
         )
         disable_nagle(self.transport)
 
-    def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
-        """End the request; a response without length may be complete."""
+    def readConnectionLost(self):  # noqa: N802 - named by twisted
+        """End the request; a response without length may be complete.
+
+        The reactor also reports some resets in this way, while the socket is
+        still open.
+        """
         self.open = False
         self.pool.remove(self)
-        # The parser refers back to this object; without the cycle its memory
-        # is released at once.
-        self.parser = None
         request = self.request
-        if request is None:
-            self.release_buffer()
-            return
+        unsent = self.has_unsent_data()
         if (
-            self.in_body
+            request is not None
+            and self.in_body
             and not self.complete
             and not self.has_length
-            and reason is not None
-            and reason.check(ConnectionDone)
             and self.response_id == request.request_id
+            and not unsent
+            and ended_in_order(self.transport.getHandle())
         ):
             self.keep_alive = False
             self.deliver()
-            return
-        self.request = None
+        else:
+            self.end_request()
+        if unsent:
+            self.transport.abortConnection()
+        else:
+            self.transport.loseConnection()
+
+    def writeConnectionLost(self):  # noqa: N802 - named by twisted
+        """Do nothing: this side is never closed alone."""
+
+    def connectionLost(self, reason=None):  # noqa: N802 - named by twisted
+        """End the request; its response is not complete."""
+        self.open = False
+        self.pool.remove(self)
+        # The parser refers back to this object; without the cycle its memory
+        # is released at once.
+        self.parser = None
+        self.end_request()
+
+    def end_request(self):
+        """End the request, if any, without a response."""
+        request, self.request = self.request, None
         self.release_buffer()
-        request.finish(None, CONNECTION_LOST)
+        if request is not None:
+            request.finish(None, CONNECTION_LOST)
 
     def dataReceived(self, data):  # noqa: N802 - named by twisted
         """Parse input; input without a request closes the connection."""
@@ -385,12 +409,7 @@
             load=self.load,
             keep_alive=self.keep_alive,
         )
-        unsent = (
-            self.output.size
-            or getattr(self.transport, "dataBuffer", b"")
-            or getattr(self.transport, "_tempDataBuffer", None)
-        )
-        if self.surplus_input or not self.keep_alive or unsent:
+        if self.surplus_input or not self.keep_alive or self.has_unsent_data():
             # If a part of the request is still unsent, the server would read
             # the next request as the rest of it.
             self.close()
@@ -398,6 +417,14 @@
             self.pool.release(self)
         request.finish(response)
 
+    def has_unsent_data(self) -> bool:
+        """Return whether a part of the request was not sent yet."""
+        return bool(
+            self.output.size
+            or getattr(self.transport, "dataBuffer", b"")
+            or getattr(self.transport, "_tempDataBuffer", None)
+        )
+
     def release_buffer(self):
         """Subtract the bytes of this connection from the total of the pool."""
         self.pool.hold(-self.size)
--- a/flamingosail/sockets.py
+++ b/flamingosail/sockets.py
@@ -1,14 +1,25 @@
-"""Socket options and immediate writes for TCP transports."""
+"""Socket options, state and immediate writes for TCP transports."""
 
 import socket
+from fcntl import ioctl
+from termios import TIOCOUTQ
 
-__all__ = ["detect_dead_peer", "disable_nagle", "write_now"]
+__all__ = [
+    "detect_dead_peer",
+    "disable_nagle",
+    "ended_in_order",
+    "write_now",
+]
 
 # The kernel closes a connection whose data is not acknowledged for this
 # long, and also one whose peer stops reading, so this is not set where peers
 # may read slowly.
 USER_TIMEOUT_MS = 2000
 KEEPALIVE_SECONDS = 1
+# State of a reset connection in the first byte of Linux' struct tcp_info. One
+# that the peer has closed is in CLOSE_WAIT.
+TCP_CLOSE = 7
+INT_BYTES = 4
 
 
 def disable_nagle(transport):
@@ -35,6 +46,28 @@
             handle.setsockopt(socket.IPPROTO_TCP, number, value)
 
 
+def ended_in_order(sock: socket.socket) -> bool:
+    """Return whether the peer read all that was sent, and closed its side.
+
+    ``sock`` is one of whose input the reactor has reported the end. For epoll
+    that is also an event with an error alone. The error itself may have been
+    returned by an earlier call, so the state of the connection is read too,
+    where the system tells it. Data that the peer has not acknowledged is
+    answered with a reset if the peer has closed both sides.
+    """
+    if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        return False
+    try:
+        if sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == (
+            TCP_CLOSE
+        ):
+            return False
+        unacknowledged = ioctl(sock.fileno(), TIOCOUTQ, bytes(INT_BYTES))
+        return not any(unacknowledged)
+    except (AttributeError, OSError):
+        return True
+
+
 def write_now(transport, data: bytes):
     """Write to a TCP transport, at once if its buffer is empty.
 
