Keep unfinished answers in one buffer each

Cause: the parts of the header lines were a list, which took 15 times the bytes that were counted. The pieces of chunked bodies were one as well, in the client of the store and in the server of the control port.

Ruled out: bodies of backend servers, messages between nodes, probes of a server (see docs/incidents/endless-answers.md).

Change: header lines and pieces are appended to a buffer.

test_short_header_lines_take_little_more_than_their_bytes and test_short_chunks_take_little_more_than_their_bytes fail without the change.

--- a/flamingosail/httpclient.py
+++ b/flamingosail/httpclient.py
@@ -15,6 +15,7 @@
 from twisted.internet.protocol import Protocol
 
 from flamingosail.errors import FlamingosailError
+from flamingosail.httpwire import append_piece
 from flamingosail.httpwire import header_bytes
 from flamingosail.httpwire import is_valid_status
 from flamingosail.httpwire import MAX_BODY_BYTES
@@ -80,7 +81,7 @@
         self.in_body = False
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
-        self.chunks: list[bytes] = []
+        self.body: bytes | bytearray = b""
         self.body_bytes = 0
         self.message_bytes = 0
 
@@ -193,7 +194,7 @@
         self.body_bytes += len(data)
         if self.body_bytes > self.max_body_bytes:
             raise BadResponse(f"the body exceeds {self.max_body_bytes} bytes")
-        self.chunks.append(data)
+        self.body = append_piece(self.body, data)
 
     def on_message_complete(self):
         """Record the end of the response; drop interim responses."""
@@ -240,8 +241,7 @@
 
     def deliver(self):
         """Fire the Deferred of the request with the response."""
-        chunks = self.chunks
-        body = chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        body, self.body = bytes(self.body), b""
         response = HttpResponse(self.status, tuple(self.headers), body)
         if self.surplus_input or not self.keep_alive:
             self.open = False
--- a/flamingosail/httpwire.py
+++ b/flamingosail/httpwire.py
@@ -23,6 +23,7 @@
     "HttpServerProtocol",
     "MAX_BODY_BYTES",
     "MAX_HEADER_BYTES",
+    "append_piece",
     "encode_message",
     "header_bytes",
     "is_valid_status",
@@ -121,6 +122,20 @@
         self.detail = detail
 
 
+def append_piece(body: bytes | bytearray, piece: bytes) -> bytes | bytearray:
+    """Return a body with one more piece; most bodies have one only.
+
+    Chunks may be as short as one byte, and a list of them would take some 40
+    bytes for each.
+    """
+    if not body:
+        return piece
+    if isinstance(body, bytes):
+        body = bytearray(body)
+    body += piece
+    return body
+
+
 class HttpServerProtocol(Protocol):
     """One connection from a client.
 
@@ -158,7 +173,7 @@
         self.method = b""
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
-        self.chunks: list[bytes] = []
+        self.body: bytes | bytearray = b""
         self.body_bytes = 0
         self.message_bytes = 0
         self.in_body = False
@@ -258,7 +273,7 @@
         self.body_bytes += len(data)
         if self.body_bytes > MAX_BODY_BYTES:
             raise body_too_large()
-        self.chunks.append(data)
+        self.body = append_piece(self.body, data)
 
     def on_message_complete(self):
         """Mark the request complete; it is handled after parsing."""
@@ -303,8 +318,7 @@
     def dispatch(self):
         """Hand the complete request to the handler."""
         self.await_response()
-        chunks = self.chunks
-        body = chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        body, self.body = bytes(self.body), b""
         self.handler.handle(self, self.method, self.target, self.headers, body)
 
     def await_response(self):
--- a/flamingosail/proxy/transport/backendserver.py
+++ b/flamingosail/proxy/transport/backendserver.py
@@ -171,7 +171,8 @@
         self.in_body = False
         self.has_length = False
         self.status = 0
-        self.head: list[bytes] = []
+        # A list of the parts would take 15 times the memory of short lines.
+        self.head = bytearray()
         self.body: bytes | bytearray = b""
         self.response_id = None
         self.signature = b""
@@ -307,7 +308,7 @@
                 self.pool.record_invalid_rate(value)
         elif lower == dialect.leaving:
             self.leaving = value.strip() == LEAVING_VALUE
-        self.head += (name, b": ", value, b"\r\n")
+        self.head += b"%s: %s\r\n" % (name, value)
 
     def on_headers_complete(self):
         """Store the status; a response to HEAD ends here."""
@@ -399,7 +400,7 @@
         self.release_buffer()
         response = ServerResponse(
             status=self.status,
-            head=b"".join(self.head),
+            head=bytes(self.head),
             body=bytes(body),
             signature=self.signature,
             not_executed=self.not_executed,
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP client connections."""
 
+import tracemalloc
+
 from testtools import TestCase
 from twisted.internet.testing import StringTransport
 
@@ -48,6 +50,19 @@
             self.assertEqual((200, b"abc"), (response.status, response.body))
             self.assertTrue(self.connection.idle)
 
+    def test_short_chunks_take_little_more_than_their_bytes(self):
+        """A store in trouble made its client run out of memory."""
+        piece = b"2\r\nxy\r\n" * 9000
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before, _ = tracemalloc.get_traced_memory()
+        self.exchange(head, *[piece] * 50)
+        held = tracemalloc.get_traced_memory()[0] - before
+        self.assertEqual([], self.results)
+        # A message exists up to three times.
+        self.assertLess(held, 3 * 2 * 9000 * 50)
+
     def test_assembles_a_response_from_single_bytes(self):
         pieces = (OK[i : i + 1] for i in range(len(OK)))
         self.assertEqual(b"abc", self.exchange(*pieces).body)
--- a/tests/test_proxy_connections.py
+++ b/tests/test_proxy_connections.py
@@ -1,5 +1,6 @@
 """Tests of client connections and of connections to the backend server."""
 
+import tracemalloc
 from select import select
 from socket import create_connection
 from socket import create_server
@@ -20,6 +21,7 @@
 
 from flamingosail.proxy.shared.routes import ClientLimits
 from flamingosail.proxy.transport.backendserver import CONNECTION_LOST
+from flamingosail.proxy.transport.backendserver import MAX_HEADER_BYTES
 from flamingosail.proxy.transport.backendserver import MAX_REFUSED_IDS
 from flamingosail.proxy.transport.backendserver import parse_rate
 from flamingosail.proxy.transport.backendserver import ServerConnection
@@ -668,6 +670,20 @@
         self.assertEqual(0, self.pool.buffered_bytes)
         self.assertEqual(b"", self.connection.body)
 
+    def test_short_header_lines_take_little_more_than_their_bytes(self):
+        """A node ran out of memory that it had not counted."""
+        piece = b"ab:cd\r\n" * 600
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before, _ = tracemalloc.get_traced_memory()
+        self.connection.dataReceived(self.OK)
+        while self.connection.size + len(piece) < MAX_HEADER_BYTES:
+            self.connection.dataReceived(piece)
+        held = tracemalloc.get_traced_memory()[0] - before
+        self.assertEqual([], self.ends)
+        # A message exists up to three times.
+        self.assertLess(held, 3 * self.pool.buffered_bytes)
+
     def test_a_status_line_without_end(self):
         self.assert_ended(b"HTTP/1.1 200 ")
 
