--- a/flamingosail/proxy/transport/hopconnection.py
+++ b/flamingosail/proxy/transport/hopconnection.py
@@ -120,31 +120,24 @@
             messages = self.frames.feed(data)
             self.count_input(len(self.frames.buffer))
             for message in messages:
-                self.handle_safely(message)
+                try:
+                    self.handle_message(message)
+                except CodecError:
+                    raise
+                except Exception:
+                    # The error is not the other node's. Closing the
+                    # connection would put all its calls in doubt.
+                    log.exception(
+                        "message failed",
+                        extra={
+                            "peer": self.peer_address,
+                            "kind": type(message).__name__,
+                        },
+                    )
         except CodecError as error:
             log.warning("peer sent garbage", extra={"cause": str(error)})
             self.transport.abortConnection()
 
-    def handle_safely(self, message):
-        """Handle one message; an error here is no fault of the other node.
-
-        Closing the connection would put all its calls in doubt.
-
-        :raises CodecError: if the message does not fit the connection.
-        """
-        try:
-            self.handle_message(message)
-        except CodecError:
-            raise
-        except Exception:
-            log.exception(
-                "message failed",
-                extra={
-                    "peer": self.peer_address,
-                    "kind": type(message).__name__,
-                },
-            )
-
     def count_input(self, size: int):
         """Count the part of a message that has arrived.
 
