--- a/tests/test_proxy_quota.py
+++ b/tests/test_proxy_quota.py
@@ -10,6 +10,7 @@
 from flamingosail.proxy.shared.tenants import Tenant
 from tests.quotacluster import Cluster
 from tests.quotacluster import largest_window
+from tests.quotacluster import Node
 from tests.quotacluster import window_bound
 
 DOMAINS = {"a": 21, "b": 20, "c": 20}
@@ -179,11 +180,8 @@
         self.assertLess(cluster.total_refused(), 0.01 * 180 * 4)
         self.assert_kept(cluster)
 
-    def test_nodes_that_do_not_know_each_other_mint_nothing(self):
-        """Failure: a domain restarts and cannot read the members.
-
-        Each of its nodes took itself for the only one of its domain.
-        """
+    def restart_without_members(self) -> tuple[Cluster, list[Node]]:
+        """Return a cluster and the nodes of a domain that restarted in it."""
         cluster = Cluster(
             domains={"a": 4, "b": 4, "c": 4}, tenants=[make_tenant(60, 60)]
         )
@@ -193,6 +191,14 @@
             node.knows_members = False
             cluster.start(node)
         cluster.advance(START_SECONDS)
+        return cluster, restarted
+
+    def test_nodes_that_do_not_know_each_other_mint_nothing(self):
+        """Failure: a domain restarts and cannot read the members.
+
+        Each of its nodes took itself for the only one of its domain.
+        """
+        cluster, restarted = self.restart_without_members()
         cluster.play({"t": 240}, 8.0, nodes=restarted)
         self.assert_kept(cluster)
         # The tenant lives on what the other two domains mint.
@@ -200,15 +206,7 @@
 
     def test_nodes_that_learn_of_each_other_late_share_the_quota(self):
         """Failure: the members become readable at different times."""
-        cluster = Cluster(
-            domains={"a": 4, "b": 4, "c": 4}, tenants=[make_tenant(60, 60)]
-        )
-        cluster.advance(START_SECONDS)
-        restarted = cluster.nodes[:4]
-        for node in restarted:
-            node.knows_members = False
-            cluster.start(node)
-        cluster.advance(START_SECONDS)
+        cluster, restarted = self.restart_without_members()
         for node in restarted:
             cluster.play({"t": 240}, 0.7, nodes=restarted)
             node.knows_members = True
@@ -308,6 +306,8 @@
         st.tuples(st.just("cut domain"), st.sampled_from(list(SMALL))),
         st.tuples(st.just("heal")),
         st.tuples(st.just("restart"), nodes),
+        st.tuples(st.just("restart without members"), nodes),
+        st.tuples(st.just("read members"), nodes),
         st.tuples(st.just("loss"), st.sampled_from([0.0, 0.1, 0.5])),
         st.tuples(st.just("delay"), st.sampled_from([0.0, 0.05, 0.4])),
         st.tuples(st.just("duplicate"), st.sampled_from([0.0, 0.5])),
@@ -350,6 +350,11 @@
                 node.cut = False
         elif name == "restart":
             cluster.start(cluster.nodes[arguments[0]])
+        elif name == "restart without members":
+            cluster.nodes[arguments[0]].knows_members = False
+            cluster.start(cluster.nodes[arguments[0]])
+        elif name == "read members":
+            cluster.nodes[arguments[0]].knows_members = True
         elif name == "loss":
             cluster.loss = arguments[0]
         elif name == "delay":
