Hold back a server longer if it answers as one that leaves does

Cause: 12 s after the start of its process, a node believed any report of its server.

Change: if the server has answered a check as one that leaves does, with another status than 200 on a connection that it closes, its reports count from 30 s after the start on.

Cost: a sound server whose health endpoint fails and that closes each connection waits 30 s after a restart of its node, not 12 s.

test_a_server_that_left_and_reports_on_is_not_used fails without the change. It and two others replace test_a_server_that_reports_for_long_is_used, which did not tell the servers apart. tests/test_proxy_gate.py: 45 passed, 0 failed.

--- a/flamingosail/proxy/transport/servercheck.py
+++ b/flamingosail/proxy/transport/servercheck.py
@@ -2,9 +2,9 @@
 
 What a server said of its leaving is lost with the process that it told, and
 reports that it sent before may arrive later. A report proves that its server
-had not left when it was sent, so that it is believed in one of two cases: the
-server itself has answered this process since, or the report was sent after
-this process had started.
+ran when it was sent, so that it is believed in one of two cases: the server
+itself has answered this process, or it has run for so long since this process
+started that it cannot have left before.
 """
 
 from collections.abc import Callable
@@ -21,6 +21,8 @@
 
 # No report is under way for longer than this.
 MAX_REPORT_DELAY_SECONDS = 12.0
+# A server has stopped this long after it said that it leaves.
+MAX_LEAVING_SECONDS = 30.0
 # An answer that takes longer is given up when the next report arrives.
 ANSWER_SECONDS = 5.0
 # Without a health endpoint, a request without an id is sent to this path. The
@@ -39,7 +41,8 @@
     confirmed it, if any, ``on_leaving`` with that of a server whose response
     says that it leaves. ``started_at`` is when the process started, ``report``
     the last report, and ``asked`` the one that the pending ``request`` is for,
-    sent at ``asked_at``.
+    sent at ``asked_at``. ``may_leave`` says that its server has answered as
+    one that leaves does.
     """
 
     def __init__(
@@ -61,11 +64,17 @@
         self.request: ServerRequest | None = None
         self.asked: ServerReport | None = None
         self.asked_at = 0.0
+        self.may_leave = False
 
     def check(self, report: ServerReport):
         """Check a report; it replaces the one that is being checked."""
-        self.report = report
-        if self.clock.seconds() - self.started_at >= MAX_REPORT_DELAY_SECONDS:
+        former, self.report = self.report, report
+        if former is not None and former.incarnation != report.incarnation:
+            self.may_leave = False
+        doubt_seconds = (
+            MAX_LEAVING_SECONDS if self.may_leave else MAX_REPORT_DELAY_SECONDS
+        )
+        if self.clock.seconds() - self.started_at >= doubt_seconds:
             self.confirm(report)
         else:
             self.ask()
@@ -131,6 +140,8 @@
             self.confirm(report, response)
         elif response is not None and is_leaving(report, response):
             self.on_leaving(report)
+        elif response is not None and names_instance(report, response):
+            self.may_leave = True
 
 
 def is_serving(report: ServerReport, response: ServerResponse) -> bool:
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -69,13 +69,32 @@
         self.answer(503, keep_alive=True)
         self.assertEqual("ready", self.gate.server.state)
 
-    def test_a_server_that_reports_for_long_is_used(self):
-        """Its health endpoint is wrong and closes each connection."""
-        for sequence in range(1, 9):
+    def report_for(self, seconds: float, on_sent=lambda: None):
+        """Let the server report for some seconds, and once more."""
+        count = round(seconds / 1.5)
+        for sequence in range(1, count + 1):
             self.gate.server.handle_report(make_report(sequence=sequence))
-            self.answer(503)
+            on_sent()
             self.clock.advance(1.5)
-        self.gate.server.handle_report(make_report(sequence=9))
+            self.assertEqual("absent", self.gate.server.state)
+        self.gate.server.handle_report(make_report(sequence=count + 1))
+
+    def test_a_server_that_does_not_answer_is_used_later(self):
+        """Its reports were sent after the start of the node."""
+        self.report_for(12.0)
+        self.assertEqual("ready", self.gate.server.state)
+
+    def test_a_server_that_closes_each_connection_is_used_later(self):
+        """Its health endpoint is wrong; a server that leaves has ended."""
+        self.report_for(30.0, on_sent=lambda: self.answer(503))
+        self.assertEqual("ready", self.gate.server.state)
+
+    def test_a_server_that_left_and_reports_on_is_not_used(self):
+        """Some servers never report that they drain."""
+        self.report_for(12.0, on_sent=lambda: self.answer(503))
+        self.assertEqual("absent", self.gate.server.state)
+        # Its successor is not suspected of leaving.
+        self.gate.server.handle_report(make_report(start_ms=2000))
         self.assertEqual("ready", self.gate.server.state)
 
     def test_a_slow_server_is_asked_once(self):
