Name the two times of lending apart

The time from which a node may lend, if it knows the members, had the name of the time from which it lends.

--- a/flamingosail/proxy/shared/quotas.py
+++ b/flamingosail/proxy/shared/quotas.py
@@ -147,9 +147,8 @@
         self.on_decision: Callable = lambda request, draw, retry_after: None
         self.tenants: TenantTable | None = None
         now = clock.seconds()
-        self.lends_from = now + (
-            FIRST_START_SECONDS if first_start else START_SECONDS
-        )
+        start = FIRST_START_SECONDS if first_start else START_SECONDS
+        self.earliest_lending = now + start
         self.own_id = node_id(own_address)
         self.choice = HolderChoice()
         self.views = NodeViews(own_id=self.own_id)
@@ -209,7 +208,9 @@
             domain: tuple(sorted(members)) for domain, members in far.items()
         }
         if self.views.lends_from == inf and self.members_known():
-            self.views.lends_from = max(self.lends_from, now + JOIN_SECONDS)
+            self.views.lends_from = max(
+                self.earliest_lending, now + JOIN_SECONDS
+            )
         self.views.update(reached, leaving, now)
         self.book.known = 1 + near
         self.book.recount(now)
